--- a/src/config/parse-toml.test.ts
+++ b/src/config/parse-toml.test.ts
@@ -26,11 +26,21 @@
 		const good = readFileSync('examples/mvule/rostrum.toml', 'utf8');
 
 		it.each([
-			{change: ['priority = 1', 'priority = 0'], code: 'too_small', line: 6, path: 'classes.0.priority'},
-			{change: ['floor = 0.5', 'floor = 0.9'], code: 'invalid_value', line: 4, path: 'classes'},
-			{change: ['repeatable = false', 'repeatable = "no"'], code: 'invalid_type', line: 9, path: 'classes.0.repeatable'},
-			{change: ['slots = 3', 'slotz = 3'], code: 'unknown_key', line: 31, path: 'places.0.slotz'},
-			{change: ['127.31.11.21:7300', 'rostrum.local:7300'], code: 'invalid_value', line: 33, path: 'places.0.instances.0.address'},
+			{
+				change: ['priority = 1', 'priority = 0'], code: 'too_small', line: 6, path: 'classes.0.priority',
+			},
+			{
+				change: ['floor = 0.5', 'floor = 0.9'], code: 'invalid_value', line: 4, path: 'classes',
+			},
+			{
+				change: ['repeatable = false', 'repeatable = "no"'], code: 'invalid_type', line: 9, path: 'classes.0.repeatable',
+			},
+			{
+				change: ['slots = 3', 'slotz = 3'], code: 'unknown_key', line: 31, path: 'places.0.slotz',
+			},
+			{
+				change: ['127.31.11.21:7300', 'rostrum.local:7300'], code: 'invalid_value', line: 33, path: 'places.0.instances.0.address',
+			},
 		])('$code at $path', ({change, code, line, path}) => {
 			const parsed = parseToml('rostrum.toml', good.replace(change[0]!, change[1]!), ServiceFile);
 			expect(parsed.success).toBe(false);
--- a/src/decisions/ledger.ts
+++ b/src/decisions/ledger.ts
@@ -175,9 +175,9 @@
 
 		state.isSealed = true;
 		const entry = state.entries.get(part);
-		if (entry === undefined) {
+		if (entry === undefined || entry.outcome?.kind === 'not-run') {
 			return {
-				kind: 'not-run', reason: 'token_sealed', detail: 'the home of the token is lost; it had not started the request', retryAfterMs: 0,
+				kind: 'not-run', reason: 'token_sealed', detail: 'the home of the token is lost; the request had not run', retryAfterMs: 0,
 			};
 		}
 
--- /dev/null
+++ b/src/decisions/membership.test.ts
@@ -0,0 +1,233 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {FakeRegion} from '../../test/fake-region.js';
+import {rendezvousOrder} from './rendezvous-order.js';
+
+/** Longest time from a death to everyone's knowing: rounds of probing, two failed probes, suspicion, spreading. */
+const detectionMs = 20_000;
+
+function allKnow(region: FakeRegion, ids: readonly string[]): boolean {
+	return region.nodes.every((node, index) => node.isDown || node.isFrozen || JSON.stringify(region.aliveAt(index).toSorted()) === JSON.stringify(ids.toSorted()));
+}
+
+describe('membership', () => {
+	describe('joining', () => {
+		it('lets all hosts of a region find each other through the hints', () => {
+			const region = new FakeRegion({regions: {dsm: 6}, seed: 1});
+			region.run(10_000);
+			expect(allKnow(region, ['dsm-0', 'dsm-1', 'dsm-2', 'dsm-3', 'dsm-4', 'dsm-5'])).toBe(true);
+		});
+
+		it('lets regions learn each other\'s hosts', () => {
+			const region = new FakeRegion({regions: {dsm: 3, aru: 3}, seed: 2});
+			region.run(20_000);
+			for (const node of region.nodes) {
+				const other = node.region === 'dsm' ? 'aru' : 'dsm';
+				expect(node.membership.hostsOf(other).map(member => member.id).toSorted()).toEqual([0, 1, 2].map(index => `${other}-${index}`));
+			}
+		});
+
+		it('gives all hosts one owner for each service', () => {
+			const region = new FakeRegion({regions: {dsm: 6}, seed: 3});
+			region.run(10_000);
+			const owners = region.nodes.map(node => rendezvousOrder('rostrum', node.membership.staying(), member => `${member.id}/${member.boot}`)[0]?.id);
+			expect(new Set(owners).size).toBe(1);
+		});
+	});
+
+	describe('failures', () => {
+		it('finds a killed host', () => {
+			const region = new FakeRegion({regions: {dsm: 6}, seed: 4});
+			region.run(10_000);
+			region.kill(2);
+			region.run(detectionMs);
+			expect(allKnow(region, ['dsm-0', 'dsm-1', 'dsm-3', 'dsm-4', 'dsm-5'])).toBe(true);
+		});
+
+		it('takes a restarted host for another process and drops the old one', () => {
+			const region = new FakeRegion({regions: {dsm: 4}, seed: 5});
+			region.run(10_000);
+			region.kill(1);
+			region.run(500);
+			region.restart(1);
+			region.run(detectionMs);
+			expect(allKnow(region, ['dsm-0', 'dsm-1', 'dsm-2', 'dsm-3'])).toBe(true);
+		});
+
+		it('keeps a frozen host from deciding until a peer has answered it', () => {
+			const region = new FakeRegion({regions: {dsm: 4}, seed: 6});
+			region.run(10_000);
+			region.freeze(0);
+			region.run(30_000);
+			const {membership} = region.nodes[0]!;
+			expect(membership.isConfident(region.nowMs)).toBe(false);
+			region.wake(0);
+			region.run(100);
+			expect(membership.isConfident(region.nowMs)).toBe(false);
+			region.run(5000);
+			expect(membership.isConfident(region.nowMs)).toBe(true);
+			region.run(detectionMs);
+			expect(allKnow(region, ['dsm-0', 'dsm-1', 'dsm-2', 'dsm-3'])).toBe(true);
+		});
+
+		it('lets a region work on when another one is cut off, and joins them again', () => {
+			const region = new FakeRegion({regions: {dsm: 3, aru: 3}, seed: 7});
+			region.run(20_000);
+			const cut = (isCut: boolean) => {
+				for (const a of [0, 1, 2]) {
+					for (const b of [3, 4, 5]) {
+						region.setCut(a, b, isCut);
+					}
+				}
+			};
+
+			cut(true);
+			region.kill(4);
+			region.run(60_000);
+			expect(region.aliveAt(0)).toHaveLength(3);
+			expect(region.aliveAt(3)).toHaveLength(2);
+			expect(region.nodes[0]!.membership.silenceOf('aru', region.nowMs)).toBeGreaterThan(50_000);
+			cut(false);
+			region.run(20_000);
+			expect(region.nodes[0]!.membership.hostsOf('aru').map(member => member.id).toSorted()).toEqual(['aru-0', 'aru-2']);
+		});
+
+		it('joins the two sides of a region that was cut for longer than tombstones last', () => {
+			const region = new FakeRegion({regions: {dsm: 6}, seed: 8});
+			region.run(10_000);
+			const cut = (isCut: boolean) => {
+				for (const a of [0, 1, 2]) {
+					for (const b of [3, 4, 5]) {
+						region.setCut(a, b, isCut);
+					}
+				}
+			};
+
+			cut(true);
+			region.run(120_000);
+			expect(region.aliveAt(0)).toHaveLength(3);
+			cut(false);
+			region.run(60_000);
+			expect(region.aliveAt(0)).toHaveLength(6);
+			expect(region.aliveAt(5)).toHaveLength(6);
+		});
+	});
+
+	describe('loss', () => {
+		it('declares no living host dead under 30% loss', () => {
+			for (let seed = 10; seed < 15; seed++) {
+				const region = new FakeRegion({regions: {dsm: 12}, seed});
+				region.run(15_000);
+				region.setLoss(0.3);
+				for (let step = 0; step < 60; step++) {
+					region.run(1000);
+					for (const node of region.nodes) {
+						expect(node.membership.updates().filter(update => update.status === 'dead')).toEqual([]);
+					}
+				}
+			}
+		});
+	});
+
+	describe('planned stops', () => {
+		it('takes a leaving host out of the candidates and keeps it alive', () => {
+			const region = new FakeRegion({regions: {dsm: 4}, seed: 20});
+			region.run(10_000);
+			region.leave(3);
+			region.run(5000);
+			for (const index of [0, 1, 2]) {
+				expect(region.aliveAt(index)).toHaveLength(4);
+				expect(region.nodes[index]!.membership.staying().map(member => member.id)).toEqual(['dsm-0', 'dsm-1', 'dsm-2']);
+			}
+		});
+	});
+
+	describe('random faults', () => {
+		const Step = fc.record({
+			kind: fc.constantFrom('kill', 'restart', 'freeze', 'wake', 'cut', 'join', 'run'),
+			a: fc.nat(6),
+			b: fc.nat(6),
+			ms: fc.integer({min: 100, max: 8000}),
+		});
+
+		it('agrees on the living hosts once the faults end, whatever they were', () => {
+			fc.assert(fc.property(fc.array(Step, {maxLength: 25}), fc.nat(1_000_000), (steps, seed) => {
+				const region = new FakeRegion({regions: {dsm: 7}, seed});
+				region.run(10_000);
+				for (const step of steps) {
+					const node = region.nodes[step.a]!;
+					switch (step.kind) {
+						case 'kill': {
+							region.kill(step.a);
+							break;
+						}
+
+						case 'restart': {
+							if (node.isDown) {
+								region.restart(step.a);
+							}
+
+							break;
+						}
+
+						case 'freeze': {
+							region.freeze(step.a);
+							break;
+						}
+
+						case 'wake': {
+							region.wake(step.a);
+							break;
+						}
+
+						case 'cut':
+						case 'join': {
+							if (step.a !== step.b) {
+								region.setCut(step.a, step.b, step.kind === 'cut');
+							}
+
+							break;
+						}
+
+						case 'run': {
+							break;
+						}
+					}
+
+					region.run(step.ms);
+				}
+
+				for (const [index, item] of region.nodes.entries()) {
+					region.wake(index);
+					if (item.isDown) {
+						region.restart(index);
+					}
+
+					for (let other = 0; other < index; other++) {
+						region.setCut(index, other, false);
+					}
+				}
+
+				region.run(90_000);
+				expect(allKnow(region, [0, 1, 2, 3, 4, 5, 6].map(index => `dsm-${index}`))).toBe(true);
+				for (const item of region.nodes) {
+					expect(item.membership.isConfident(region.nowMs)).toBe(true);
+				}
+			}), {numRuns: 40, seed: 42});
+		});
+	});
+
+	describe('size', () => {
+		it('keeps each host\'s datagrams independent of the region\'s size, up to 500 hosts', () => {
+			const rates = [20, 500].map(size => {
+				const region = new FakeRegion({regions: {dsm: size}, seed: 30});
+				region.run(40_000);
+				expect(region.aliveAt(0)).toHaveLength(size);
+				const before = region.datagrams;
+				region.run(10_000);
+				return (region.datagrams - before) / size / 10;
+			});
+			expect(rates[1]).toBeLessThan((rates[0] ?? 0) * 1.5);
+		});
+	});
+});
--- a/src/decisions/membership.ts
+++ b/src/decisions/membership.ts
@@ -29,6 +29,16 @@
 
 type Entry = MemberUpdate & {readonly sinceMs: number};
 
+/** Lists made from the entries when they are asked for, and kept until an entry changes. */
+type View = {
+	/** Members thought alive, without this process. */
+	others?: readonly Member[];
+	alive?: readonly Member[];
+	staying?: readonly Member[];
+	/** The staying members in the region's order of delegates. */
+	order?: readonly Member[];
+};
+
 type Probe = {
 	readonly key: string;
 	readonly seq: number;
@@ -67,10 +77,14 @@
 	readonly #regions: RegionTable;
 	readonly #relayed = new Map<number, {readonly address: string; readonly seq: number; readonly expiresMs: number}>();
 	readonly #doubted = new Set<string>();
+	/** Keys of the suspect and the dead. */
+	readonly #unwell = new Set<string>();
 	#hints: readonly string[] = [];
 	#foreignHints = new Map<string, readonly string[]>();
 	#rounds: string[] = [];
 	#probe: Probe | undefined;
+	/** Every other probe goes to a suspect, if there is one. */
+	#isSuspectTurn = false;
 	#nextProbeMs = 0;
 	#lastTickMs: number | undefined;
 	#lastSyncMs = Number.NEGATIVE_INFINITY;
@@ -80,6 +94,7 @@
 	#rejoinSinceMs: number | undefined;
 	#revision = 0;
 	#viewHash = 0;
+	#view: View = {};
 
 	constructor(options: MembershipOptions, self: Member, random: SeededRandom) {
 		this.#options = options;
@@ -105,14 +120,15 @@
 	}
 
 	/** Members of the region that are thought alive, this process included, in an order common to all. */
-	alive(): Member[] {
-		const others = [...this.#entries.values()].filter(entry => entry.status === 'alive').map(entry => entry.member);
-		return [this.#self, ...others].toSorted((a, b) => (memberKey(a) < memberKey(b) ? -1 : 1));
+	alive(): readonly Member[] {
+		this.#view.alive ??= [this.#self, ...this.#othersAlive()].toSorted((a, b) => (memberKey(a) < memberKey(b) ? -1 : 1));
+		return this.#view.alive;
 	}
 
 	/** Members of the region that may take on new work: alive and not leaving. */
-	staying(): Member[] {
-		return this.alive().filter(member => !this.isMemberLeaving(memberKey(member)));
+	staying(): readonly Member[] {
+		this.#view.staying ??= this.alive().filter(member => !this.isMemberLeaving(memberKey(member)));
+		return this.#view.staying;
 	}
 
 	/** Whether a member of the region is in a planned stop. */
@@ -152,7 +168,7 @@
 
 	/** Place of this process in the region's order of delegates, from 0. */
 	delegateRank(): number {
-		const order = rendezvousOrder('delegate', this.staying(), memberKey);
+		const order = this.#order();
 		const rank = order.findIndex(member => memberKey(member) === this.#selfKey);
 		return rank === -1 ? order.length : rank;
 	}
@@ -182,6 +198,7 @@
 	/** Announces a planned stop, or takes it back. */
 	setLeaving(isLeaving: boolean): MembershipEffect[] {
 		this.#isLeaving = isLeaving;
+		this.#view = {};
 		this.#raiseIncarnation();
 		return [{kind: 'changed'}, ...this.#spreadNow()];
 	}
@@ -196,7 +213,7 @@
 	/** Takes in proof that a member did not accept a connection: it is suspected at once. */
 	reportRefused(key: string, nowMs: number): MembershipEffect[] {
 		const entry = this.#entries.get(key);
-		return entry?.status === 'alive' ? this.#apply({...toUpdate(entry), status: 'suspect'}, nowMs) : [];
+		return entry?.status === 'alive' ? this.#suspect(toUpdate(entry), nowMs) : [];
 	}
 
 	/** Takes in another daemon's whole view. */
@@ -355,6 +372,12 @@
 			this.#doubted.delete(key);
 		}
 
+		this.#isSuspectTurn = !this.#isSuspectTurn;
+		const suspects = this.#isSuspectTurn ? [...this.#entries].filter(([, entry]) => entry.status === 'suspect') : [];
+		if (suspects.length > 0) {
+			return this.#random.sample(suspects, 1)[0]![0];
+		}
+
 		for (let attempt = 0; attempt < 2; attempt++) {
 			while (this.#rounds.length > 0) {
 				const key = this.#rounds.pop()!;
@@ -409,16 +432,28 @@
 		}
 
 		this.#doubted.delete(probe.key);
-		return this.#apply({...toUpdate(entry), status: 'suspect'}, nowMs);
+		return this.#suspect(toUpdate(entry), nowMs);
+	}
+
+	/** Suspects a member and tells it so at once, so that it can refute before the time runs out. */
+	#suspect(update: MemberUpdate, nowMs: number): MembershipEffect[] {
+		const suspicion: MemberUpdate = {...update, status: 'suspect'};
+		const effects = this.#apply(suspicion, nowMs);
+		const message: GossipMessage = {kind: 'news', ...this.#common(0), updates: [suspicion]};
+		return [...effects, this.#send(update.member.peers, message), ...this.#spreadNow()];
 	}
 
 	#ping(probe: Probe): MembershipEffect[] {
 		const entry = this.#entries.get(probe.key);
-		return entry === undefined
-			? []
-			: [this.#send(entry.member.peers, {
-				kind: 'ping', seq: probe.seq, to: probe.key, ...this.#common(),
-			})];
+		if (entry === undefined) {
+			return [];
+		}
+
+		const common = this.#common();
+		const updates = entry.status === 'suspect' ? [toUpdate(entry), ...common.updates.slice(1)] : common.updates;
+		return [this.#send(entry.member.peers, {
+			kind: 'ping', seq: probe.seq, to: probe.key, ...common, updates,
+		})];
 	}
 
 	#pingIndirectly(probe: Probe): MembershipEffect[] {
@@ -437,11 +472,13 @@
 	#expire(nowMs: number): MembershipEffect[] {
 		const effects: MembershipEffect[] = [];
 		const suspicionMs = this.#options.suspicionPeriods * this.#options.periodMs * Math.max(1, Math.log10(this.#entries.size + 1));
-		for (const [key, entry] of this.#entries) {
+		for (const key of this.#unwell) {
+			const entry = this.#entries.get(key)!;
 			if (entry.status === 'suspect' && nowMs - entry.sinceMs >= suspicionMs) {
 				effects.push(...this.#apply({...toUpdate(entry), status: 'dead'}, nowMs));
 			} else if (entry.status === 'dead' && nowMs - entry.sinceMs >= tombstoneMs) {
 				this.#entries.delete(key);
+				this.#unwell.delete(key);
 			}
 		}
 
@@ -471,6 +508,13 @@
 
 		this.#rehash(current, update);
 		this.#entries.set(key, {...update, sinceMs: nowMs});
+		if (update.status === 'alive') {
+			this.#unwell.delete(key);
+		} else {
+			this.#unwell.add(key);
+		}
+
+		this.#view = {};
 		this.#queue.add(key, update);
 		this.#doubted.delete(key);
 		this.#retireOlderLives(update, nowMs);
@@ -500,7 +544,7 @@
 
 		this.#incarnation = update.incarnation;
 		this.#raiseIncarnation();
-		return [];
+		return this.#spreadNow();
 	}
 
 	#raiseIncarnation(): void {
@@ -564,12 +608,17 @@
 	}
 
 	#ownSummary(): RegionSummary {
-		const hosts = rendezvousOrder('delegate', this.staying(), memberKey).slice(0, summaryHosts);
-		return this.#regions.own(hosts);
+		return this.#regions.own(this.#order().slice(0, summaryHosts));
+	}
+
+	#othersAlive(): readonly Member[] {
+		this.#view.others ??= [...this.#entries.values()].filter(entry => entry.status === 'alive').map(entry => entry.member);
+		return this.#view.others;
 	}
 
-	#othersAlive(): Member[] {
-		return [...this.#entries.values()].filter(entry => entry.status === 'alive').map(entry => entry.member);
+	#order(): readonly Member[] {
+		this.#view.order ??= rendezvousOrder('delegate', this.staying(), memberKey);
+		return this.#view.order;
 	}
 
 	#selfUpdate(): MemberUpdate {
--- /dev/null
+++ b/tools/measure-path.ts
@@ -0,0 +1,156 @@
+import {Buffer} from 'node:buffer';
+import {setTimeout as delay} from 'node:timers/promises';
+import {HttpUpstream} from '../src/adapters/http-upstream.js';
+import {monotonicClock} from '../src/adapters/monotonic-clock.js';
+import {Caller} from '../src/caller.js';
+import {Fleet} from './fleet.js';
+import {percentiles} from './percentiles.js';
+import {processUsage} from './process-usage.js';
+import {publish} from './publish.js';
+
+const warmUpRequests = 3000;
+const samples = 1500;
+const parallelWarmUp = 16;
+const throughputMs = 5000;
+const parallelCallers = 64;
+const lookupsPerSecond = 1000;
+const lookupMs = 6000;
+
+type Send = () => Promise<number>;
+
+/** Cost of the path: latency added to a direct call, requests and look-ups a second for one core. */
+export async function measurePath(): Promise<Record<string, unknown>> {
+	const fleet = new Fleet({
+		deployment: 'mvule', hostsPerZone: 1, meanMs: 0, seed: 1,
+	});
+	try {
+		await fleet.startStandIns();
+		await fleet.startDaemons();
+		await publish(fleet);
+		await fleet.untilReady();
+		const host = fleet.hosts[0]!;
+		const caller = new Caller({hosts: [host.callers]});
+		const through = sender(caller, 'catalogue', 'lots', true);
+		const keyed = sender(caller, 'rostrum', 'bid', false);
+		const direct = directSender(fleet);
+		await warmUp([through, keyed, direct]);
+		const latencies = {direct: [] as number[], through: [] as number[], keyed: [] as number[]};
+		for (let index = 0; index < samples; index++) {
+			latencies.direct.push(await direct());
+			latencies.through.push(await through());
+			latencies.keyed.push(await keyed());
+		}
+
+		const repeatable = await throughput(fleet, through);
+		const lookups = await lookupCost(fleet, host.callers);
+		caller.close();
+		const [directMs, throughMs, keyedMs] = [percentiles(latencies.direct), percentiles(latencies.through), percentiles(latencies.keyed)];
+		return {
+			directMs,
+			throughMs,
+			keyedMs,
+			addedP50Ms: throughMs.p50 - directMs.p50,
+			addedP99Ms: throughMs.p99 - directMs.p99,
+			keyedAddedP50Ms: keyedMs.p50 - directMs.p50,
+			...repeatable,
+			...lookups,
+		};
+	} finally {
+		await fleet.close();
+	}
+}
+
+function sender(caller: Caller, service: string, className: string, isRepeatable: boolean): Send {
+	return async () => {
+		const startMs = performance.now();
+		const outcome = await caller.send({
+			service, className, isRepeatable, path: '/x?ms=0', body: Buffer.from('x'), deadlineMs: 1400,
+		});
+		if (outcome.kind !== 'whole') {
+			throw new Error(`${service}/${className}: ${outcome.kind}: ${outcome.reason}: ${outcome.detail}`);
+		}
+
+		return performance.now() - startMs;
+	};
+}
+
+function directSender(fleet: Fleet): Send {
+	const upstream = new HttpUpstream({clock: monotonicClock, maxAnswerBytes: 1_000_000, maxConnections: 100});
+	const {address} = (fleet.publication.services.catalogue!.places[0]!.instances[0]!);
+	return async () => {
+		const startMs = performance.now();
+		const work = {
+			requestId: 'direct', service: 'catalogue', className: 'lots', method: 'POST', path: '/x?ms=0', remainingMs: 1000, headers: {}, region: 'dsm', caller: '', fingerprint: '',
+		};
+		const result = await upstream.call({
+			address, work, body: Buffer.from('x'), isRepeatable: true, remainingMs: 1000, shedMeansNotRun: true, signal: new AbortController().signal,
+		});
+		if (result.outcome.kind === 'unknown') {
+			throw new Error(`direct call: ${result.outcome.detail}`);
+		}
+
+		return performance.now() - startMs;
+	};
+}
+
+async function warmUp(sends: readonly Send[]): Promise<void> {
+	for (const send of sends) {
+		const count = warmUpRequests / parallelWarmUp;
+		await Promise.all(Array.from({length: parallelWarmUp}, async (_, lane) => {
+			// The direct call has no queue before the instance's slots, so it warms up alone.
+			for (let index = 0; index < (send === sends.at(-1) && lane > 0 ? 0 : count); index++) {
+				await send();
+			}
+		}));
+	}
+}
+
+async function throughput(fleet: Fleet, send: Send): Promise<Record<string, number>> {
+	const before = cpuOf(fleet);
+	const startMs = performance.now();
+	let done = 0;
+	await Promise.all(Array.from({length: parallelCallers}, async () => {
+		while (performance.now() - startMs < throughputMs) {
+			await send();
+			done++;
+		}
+	}));
+	const cpuMs = cpuOf(fleet) - before;
+	return {requestsPerSecond: Math.round((done * 1000) / (performance.now() - startMs)), requestsPerCoreSecond: Math.round((done * 1000) / cpuMs)};
+}
+
+async function lookupCost(fleet: Fleet, address: string): Promise<Record<string, number>> {
+	const idleBefore = processUsage(fleet.daemon(fleet.hosts[0]!.id).pid).cpuMs;
+	await delay(lookupMs);
+	const before = processUsage(fleet.daemon(fleet.hosts[0]!.id).pid).cpuMs;
+	const idleMs = before - idleBefore;
+	const caller = new Caller({hosts: [address]});
+	const startMs = performance.now();
+	let done = 0;
+	const lanes = 8;
+	await Promise.all(Array.from({length: lanes}, async () => {
+		for (let index = 0; performance.now() - startMs < lookupMs; index++) {
+			caller.forget();
+			const found = await caller.lookup('catalogue');
+			done += found.success ? 1 : 0;
+			const dueMs = startMs + ((index * lanes * 1000) / lookupsPerSecond);
+			const waitMs = dueMs - performance.now();
+			if (waitMs > 0) {
+				await delay(waitMs);
+			}
+		}
+	}));
+	const elapsedMs = performance.now() - startMs;
+	const cpuMs = processUsage(fleet.daemon(fleet.hosts[0]!.id).pid).cpuMs - before;
+	caller.close();
+	const netMs = Math.max(0, cpuMs - ((idleMs * elapsedMs) / lookupMs));
+	return {
+		idleCorePercent: Math.round((idleMs / lookupMs) * 10_000) / 100,
+		lookupsPerSecond: Math.round((done * 1000) / elapsedMs),
+		lookupCorePercentPerThousand: Math.round(((netMs / elapsedMs) * 100 * 1_000_000) / ((done * 1000) / elapsedMs)) / 1000,
+	};
+}
+
+function cpuOf(fleet: Fleet): number {
+	return fleet.hosts.reduce((sum, host) => sum + processUsage(fleet.daemon(host.id).pid).cpuMs, 0);
+}
--- /dev/null
+++ b/tools/measure.ts
@@ -0,0 +1,25 @@
+import process from 'node:process';
+import meow from 'meow';
+import {measurePath} from './measure-path.js';
+
+const measurements: Readonly<Record<string, () => Promise<Record<string, unknown>>>> = {
+	path: measurePath,
+};
+
+const cli = meow(`
+	Usage
+	  $ npm run measure -- NAME
+
+	Measurements
+	  ${Object.keys(measurements).join(', ')}
+`, {importMeta: import.meta});
+
+const [name = ''] = cli.input;
+const measurement = Object.hasOwn(measurements, name) ? measurements[name] : undefined;
+if (measurement === undefined) {
+	process.stderr.write(`no measurement is named "${name}"; there are: ${Object.keys(measurements).join(', ')}\n`);
+	process.exitCode = 1;
+} else {
+	const result = await measurement();
+	process.stdout.write(`${JSON.stringify({measure: name, ...result})}\n`);
+}
--- /dev/null
+++ b/tools/process-usage.ts
@@ -0,0 +1,13 @@
+import {readFileSync} from 'node:fs';
+
+/** Clock ticks a second in /proc. */
+const ticksPerSecond = 100;
+const bytesPerPage = 4096;
+
+/** Processor time in milliseconds and resident memory in megabytes of a process. */
+export function processUsage(pid: number): {readonly cpuMs: number; readonly rssMb: number} {
+	const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+	const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+	const ticks = Number(fields[11]) + Number(fields[12]);
+	return {cpuMs: (ticks * 1000) / ticksPerSecond, rssMb: Math.round((Number(fields[21]) * bytesPerPage) / 1_048_576)};
+}
