--- a/src/decisions/membership.test.ts
+++ b/src/decisions/membership.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
-import {FakeRegion} from '../../test/fake-region.js';
+import {FakeRegion} from '../../stand-ins/fake-region.js';
 import {rendezvousOrder} from './rendezvous-order.js';
 
 /** Longest time from a death to everyone's knowing: rounds of probing, two failed probes, suspicion, spreading. */
--- a/src/services/lookup-service.ts
+++ b/src/services/lookup-service.ts
@@ -1,5 +1,9 @@
 import {type Member} from '../contracts/member.js';
+import {type DeploymentFile} from '../config/deployment-file.js';
+import {type Configuration} from '../config/configuration.js';
+import {ClientBlocks} from '../decisions/client-blocks.js';
 import {hashText} from '../decisions/hash-text.js';
+import {parseIpv4} from '../decisions/parse-ipv4.js';
 import {type ConfigService} from './config-service.js';
 import {type HomeService} from './home-service.js';
 import {type MembersService} from './members-service.js';
@@ -26,15 +30,18 @@
 	readonly revision: number;
 };
 
-/** Hosts of the own region, and of each other region, in one answer. */
-const ownHosts = 4;
-const foreignHosts = 2;
+/** Hosts of the caller's region, and of each other region, in one answer. */
+const nearHosts = 4;
+const farHosts = 2;
 
 /** Answers which entry hosts a caller should use, from memory alone. */
 export class LookupService {
 	readonly #options: LookupOptions;
 	/** Order of the hosts, until the view or the configuration changes. */
-	#hosts: {readonly own: readonly LookupHost[]; readonly foreign: readonly LookupHost[]} | undefined;
+	#hosts: ReadonlyMap<string, readonly LookupHost[]> | undefined;
+	#blocks = ClientBlocks.build([]);
+	#siteRegions: readonly string[] = [];
+	#deployment: DeploymentFile | undefined;
 
 	constructor(options: LookupOptions) {
 		this.#options = options;
@@ -43,7 +50,10 @@
 		};
 
 		options.members.onChange(forget);
-		options.config.onChange(forget);
+		options.config.onChange(cfg => {
+			forget();
+			this.#takeSites(cfg);
+		});
 	}
 
 	/** Hosts for a service's callers; `undefined` when the service is not known. */
@@ -54,24 +64,54 @@
 			return undefined;
 		}
 
-		this.#hosts ??= this.#orderHosts();
-		const {own, foreign} = this.#hosts;
-		const first = own.length === 0 ? 0 : hashText(caller) % own.length;
-		const rotated = [...own.slice(first), ...own.slice(0, first)].slice(0, ownHosts);
+		this.#hosts ??= this.#hostsByRegion();
+		const region = this.#regionOf(caller);
+		const near = this.#hosts.get(region) ?? [];
+		const first = near.length === 0 ? 0 : hashText(caller) % near.length;
+		const rotated = [...near.slice(first), ...near.slice(0, first)].slice(0, nearHosts);
+		const far = [...this.#hosts].flatMap(([name, hosts]) => (name === region ? [] : hosts.slice(0, farHosts)));
 		return {
-			service, hosts: [...rotated, ...foreign], ttlMs, token: home.token, revision: cfg.revision,
+			service, hosts: [...rotated, ...far], ttlMs, token: home.token, revision: cfg.revision,
 		};
 	}
 
-	#orderHosts(): {own: LookupHost[]; foreign: LookupHost[]} {
+	/** Region that serves a caller first: its site's, or else this host's. */
+	#regionOf(caller: string): string {
+		const own = this.#options.members.membership.self.region;
+		const address = this.#siteRegions.length === 0 ? undefined : parseIpv4(caller);
+		const site = address === undefined ? undefined : this.#blocks.siteOf(address);
+		return site === undefined ? own : this.#siteRegions[site] ?? own;
+	}
+
+	#takeSites(cfg: Configuration): void {
+		const {deployment} = cfg.publication;
+		if (deployment === this.#deployment) {
+			return;
+		}
+
+		this.#deployment = deployment;
+		const {sites} = deployment;
+		this.#siteRegions = sites.map(site => site.region);
+		this.#blocks = ClientBlocks.build(sites.flatMap((site, index) => site.blocks.map(text => {
+			const [address = '', length = ''] = text.split('/');
+			const size = 2 ** (32 - Number(length));
+			return {start: Math.floor((parseIpv4(address) ?? 0) / size) * size, length: Number(length), site: index};
+		})));
+	}
+
+	#hostsByRegion(): ReadonlyMap<string, readonly LookupHost[]> {
 		const {members, config} = this.#options;
 		const {membership} = members;
 		const isUsable = (member: Member) => config.current?.isDrained('host', member.id) !== true
 			&& config.current?.isDrained('zone', member.zone) !== true
 			&& config.current?.isDrained('region', member.region) !== true;
-		const own = membership.staying().filter(member => isUsable(member));
-		const foreign = membership.otherRegions().toSorted().flatMap(region => membership.hostsOf(region).filter(member => isUsable(member)).slice(0, foreignHosts));
-		return {own: own.map(member => toHost(member)), foreign: foreign.map(member => toHost(member))};
+		const byRegion = new Map<string, readonly LookupHost[]>();
+		byRegion.set(membership.self.region, membership.staying().filter(member => isUsable(member)).map(member => toHost(member)));
+		for (const region of membership.otherRegions().toSorted()) {
+			byRegion.set(region, membership.hostsOf(region).filter(member => isUsable(member)).map(member => toHost(member)));
+		}
+
+		return byRegion;
 	}
 }
 
--- /dev/null
+++ b/tools/measure-blocks.ts
@@ -0,0 +1,47 @@
+import process from 'node:process';
+import {ClientBlocks} from '../src/decisions/client-blocks.js';
+import {SeededRandom} from '../src/decisions/seeded-random.js';
+
+const counts = [430_000, 1_075_000, 2_150_000, 4_300_000];
+const sites = 430;
+const lookups = 2_000_000;
+const bytesPerMb = 1_048_576;
+
+/** Memory and look-up time of the table of client blocks, with generated blocks of 256 addresses in random places. */
+export async function measureBlocks(): Promise<Record<string, unknown>> {
+	const sizes = [];
+	for (const count of counts) {
+		sizes.push(measureCount(count));
+	}
+
+	return {sites, sizes};
+}
+
+function measureCount(count: number): Record<string, number> {
+	const random = new SeededRandom(count);
+	const taken = new Set<number>();
+	while (taken.size < count) {
+		taken.add(random.below(2 ** 24));
+	}
+
+	const blocks = [...taken].map(place => ({start: place * 256, length: 24, site: random.below(sites)}));
+	const startMs = performance.now();
+	const table = ClientBlocks.build(blocks);
+	const buildMs = performance.now() - startMs;
+	const addresses = Array.from({length: lookups}, () => blocks[random.below(count)]!.start + random.below(256));
+	const before = process.cpuUsage();
+	let found = 0;
+	for (const address of addresses) {
+		found += table.siteOf(address) === undefined ? 0 : 1;
+	}
+
+	const used = process.cpuUsage(before);
+	return {
+		blocks: count,
+		ranges: table.size,
+		tableMb: Math.round((table.bytes / bytesPerMb) * 10) / 10,
+		buildMs: Math.round(buildMs),
+		lookupNs: Math.round(((used.user + used.system) * 1000) / lookups),
+		found,
+	};
+}
--- /dev/null
+++ b/tools/measure-config.ts
@@ -0,0 +1,102 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {ConsulStore} from '../src/adapters/consul-store.js';
+import {monotonicClock} from '../src/adapters/monotonic-clock.js';
+import {Publisher} from '../src/publisher.js';
+import {Fleet} from './fleet.js';
+import {percentiles} from './percentiles.js';
+import {publish} from './publish.js';
+import {readMetric} from './read-metric.js';
+
+const publications = 30;
+const pauseMs = 300;
+const pollMs = 5;
+const idleMs = 10_000;
+
+/** Time from the start of a publication until each host has it in force, and the store calls that hosts make. */
+export async function measureConfig(): Promise<Record<string, unknown>> {
+	const sizes = [];
+	for (const hostsPerZone of [1, 3, 6]) {
+		sizes.push(await measureSize(hostsPerZone));
+	}
+
+	return {sizes};
+}
+
+async function measureSize(hostsPerZone: number): Promise<Record<string, unknown>> {
+	const fleet = new Fleet({
+		deployment: 'mvule', hostsPerZone, meanMs: 5, seed: 1,
+	});
+	try {
+		await fleet.startStandIns();
+		await fleet.startDaemons();
+		await publish(fleet);
+		await fleet.untilReady();
+		await delay(3000);
+		const store = new ConsulStore({
+			address: fleet.storeAddress, prefix: 'cowslipspar/', timeoutMs: 3000, clock: monotonicClock, onCall() {/* Not counted here. */},
+		});
+		const publisher = new Publisher(store, 'measure');
+		const perHost: number[] = [];
+		const everywhere: number[] = [];
+		const before = await totals(fleet);
+		for (let index = 0; index < publications; index++) {
+			const times = await publishOnce(fleet, publisher, index);
+			perHost.push(...times);
+			everywhere.push(Math.max(...times));
+			await delay(pauseMs);
+		}
+
+		const after = await totals(fleet);
+		await delay(idleMs);
+		const idle = await totals(fleet);
+		store.close();
+		return {
+			hosts: fleet.hosts.length,
+			publications,
+			inForceMs: percentiles(perHost),
+			everywhereMs: percentiles(everywhere),
+			storeCallsPerPublication: (after.storeCalls - before.storeCalls) / publications,
+			pullsPerPublication: (after.pulls - before.pulls) / publications,
+			idleStoreCallsPerSecond: ((idle.storeCalls - after.storeCalls) * 1000) / idleMs,
+		};
+	} finally {
+		await fleet.close();
+	}
+}
+
+async function totals(fleet: Fleet): Promise<{storeCalls: number; pulls: number}> {
+	const texts = await Promise.all(fleet.hosts.map(async host => fleet.metrics(host.id)));
+	return {
+		storeCalls: texts.reduce((sum, text) => sum + readMetric(text, 'store_calls'), 0),
+		pulls: texts.reduce((sum, text) => sum + readMetric(text, 'config_pulls'), 0),
+	};
+}
+
+/** Publishes a changed service and answers, for each host, the time until it was in force there. */
+async function publishOnce(fleet: Fleet, publisher: Publisher, index: number): Promise<number[]> {
+	const head = await publisher.head();
+	if (!head.success) {
+		throw new Error(head.error.message);
+	}
+
+	const {services} = fleet.publication;
+	const rostrum = services['rostrum']!;
+	const classes = rostrum.classes.map((item, position) => (position === 0 ? {...item, targetMs: 100 + index + 1} : item));
+	const startMs = performance.now();
+	const published = await publisher.publish({...fleet.publication, services: {...services, rostrum: {...rostrum, classes}}}, head.data);
+	if (!published.success) {
+		throw new Error(published.error.message);
+	}
+
+	const {revision} = published.data.manifest;
+	return Promise.all(fleet.hosts.map(async host => {
+		for (;;) {
+			const status = await fleet.status(host.id);
+			if ((status?.revision ?? 0) >= revision) {
+				return performance.now() - startMs;
+			}
+
+			await delay(pollMs);
+		}
+	}));
+}
--- /dev/null
+++ b/tools/measure-stop.ts
@@ -0,0 +1,78 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {Caller} from '../src/caller.js';
+import {SeededRandom} from '../src/decisions/seeded-random.js';
+import {Fleet} from './fleet.js';
+import {LatencyTable} from './latency-table.js';
+import {runLoad} from './load.js';
+import {percentiles} from './percentiles.js';
+import {publish} from './publish.js';
+import {streamsOf} from './streams-of.js';
+
+const stops = 6;
+const warmUpMs = 5000;
+/** Time between two stops; a stopped host is started again. */
+const pauseMs = 1500;
+const lookupTtlMs = 2000;
+const rates = [0, 30, 30, 15];
+
+/** Planned stops of one host after another under load: time that each takes, and requests that it cuts. */
+export async function measureStop(): Promise<Record<string, unknown>> {
+	const fleet = new Fleet({
+		deployment: 'mvule', hostsPerZone: 3, meanMs: 8, seed: 1, extraSettings: `[stop]\nlookupTtlMs = ${lookupTtlMs}\ngraceMs = 20000\n`,
+	});
+	const callers = fleet.publication.deployment.regions.map(region => new Caller({hosts: fleet.hosts.filter(host => host.region === region.name).map(host => host.callers)}));
+	try {
+		await fleet.startStandIns();
+		await fleet.startDaemons();
+		await publish(fleet);
+		await fleet.untilReady();
+		const table = new LatencyTable();
+		const drainMs: number[] = [];
+		const exitCodes: number[] = [];
+		let isLoading = true;
+		const loading = runLoad({
+			streams: streamsOf(fleet.publication, priority => rates[priority] ?? 0),
+			callers,
+			durationMs: warmUpMs + (stops * (lookupTtlMs + pauseMs + 2500)),
+			random: new SeededRandom(3),
+			onFinished({stream, outcome, latencyMs, isOwn}) {
+				table.add(stream.className, outcome, latencyMs, isOwn);
+			},
+		});
+		void loading.finally(() => {
+			isLoading = false;
+		});
+		await delay(warmUpMs);
+		for (let index = 0; index < stops && isLoading; index++) {
+			const {id} = fleet.hosts[index * 3]!;
+			const startMs = performance.now();
+			exitCodes.push(await fleet.stopDaemon(id));
+			drainMs.push(performance.now() - startMs);
+			await fleet.startDaemon(id);
+			await delay(pauseMs);
+		}
+
+		await loading;
+		const truth = await fleet.upstreams('/truth');
+		const doubleRuns = truth.flatMap(item => Object.values(item['runsByKey'] as Record<string, number>)).filter(runs => runs > 1).length;
+		const rows = table.summaries();
+		return {
+			hosts: fleet.hosts.length,
+			stops: exitCodes.length,
+			exitCodes,
+			drainMs: percentiles(drainMs),
+			lookupTtlMs,
+			requests: rows.reduce((sum, row) => sum + row.sent, 0),
+			notRun: rows.reduce((sum, row) => sum + row.notRun, 0),
+			unknown: rows.reduce((sum, row) => sum + row.unknown, 0),
+			wrong: rows.reduce((sum, row) => sum + row.wrong, 0),
+			doubleRuns,
+		};
+	} finally {
+		for (const caller of callers) {
+			caller.close();
+		}
+
+		await fleet.close();
+	}
+}
--- a/tools/measure.ts
+++ b/tools/measure.ts
@@ -1,9 +1,17 @@
 import process from 'node:process';
 import meow from 'meow';
+import {measureBlocks} from './measure-blocks.js';
+import {measureConfig} from './measure-config.js';
+import {measureMembers} from './measure-members.js';
 import {measurePath} from './measure-path.js';
+import {measureStop} from './measure-stop.js';
 
 const measurements: Readonly<Record<string, () => Promise<Record<string, unknown>>>> = {
 	path: measurePath,
+	config: measureConfig,
+	members: measureMembers,
+	stop: measureStop,
+	blocks: measureBlocks,
 };
 
 const cli = meow(`
