--- a/src/contracts/gossip-message.ts
+++ b/src/contracts/gossip-message.ts
@@ -30,8 +30,20 @@
 	z.object({kind: z.literal('gone'), gone: z.string(), ...Common}),
 	/** Tells a new revision at once. */
 	z.object({kind: z.literal('news'), ...Common}),
-	/** From a delegate of another region; answered in kind when `isReply` is false. */
-	z.object({kind: z.literal('region'), isReply: z.boolean(), ...Common}),
+	/**
+	 * Between regions: what each side knows of its own region and of the other's. A summary is sent only to a side
+	 * whose hash of it differs. `step` counts the messages of one exchange, from 0 to 2.
+	 */
+	z.object({
+		kind: z.literal('region'),
+		step: z.int().min(0).max(2),
+		region: z.string().max(63),
+		ownVersion: z.int().min(0),
+		ownHash: z.int(),
+		knownVersion: z.int().min(0),
+		knownHash: z.int(),
+		...Common,
+	}),
 ]);
 
 /** A datagram between daemons. */
--- a/src/decisions/caller-queue.ts
+++ b/src/decisions/caller-queue.ts
@@ -67,6 +67,13 @@
 		return item;
 	}
 
+	/** The next request in turn. */
+	peek(): T | undefined {
+		const [next] = this.#byCaller.values();
+		const [item] = next?.values() ?? [];
+		return this.#front.at(-1) ?? item;
+	}
+
 	/** Removes one request wherever it waits. */
 	remove(id: string, caller: string): boolean {
 		const own = this.#byCaller.get(caller);
--- a/src/decisions/client-blocks.test.ts
+++ b/src/decisions/client-blocks.test.ts
@@ -27,7 +27,14 @@
 		expect(ClientBlocks.build([]).siteOf(5)).toBeUndefined();
 	});
 
-	it.each([['10.0.0.1', 167_772_161], ['::ffff:10.0.0.1', 167_772_161], ['255.255.255.255', 0xFF_FF_FF_FF], ['10.0.0', undefined], ['10.0.0.256', undefined], ['::1', undefined]])('reads %s', (text, value) => {
+	it.each([
+		['10.0.0.1', 167_772_161],
+		['::ffff:10.0.0.1', 167_772_161],
+		['255.255.255.255', 0xFF_FF_FF_FF],
+		['10.0.0', undefined],
+		['10.0.0.256', undefined],
+		['::1', undefined],
+	])('reads %s', (text, value) => {
 		expect(parseIpv4(text)).toBe(value);
 	});
 });
--- a/src/decisions/client-blocks.ts
+++ b/src/decisions/client-blocks.ts
@@ -12,8 +12,11 @@
 /** Addresses that share their first 16 bits share an entry of the index. */
 const indexSize = 65_536;
 const addressSpace = 2 ** 32;
+/** Prefix lengths, for the order of blocks with one start. */
+const lengthRange = 64;
 
-type Range = {readonly start: number; readonly end: number; readonly site: number};
+/** A block that covers the position reached. */
+type Open = {readonly end: number; readonly site: number};
 
 /**
  * Sites of client addresses. Blocks become ranges in one sorted array, six bytes each; an index over the first
@@ -22,16 +25,8 @@
 export class ClientBlocks {
 	/** Builds the table; the site numbers have to be below 65,535. */
 	static build(blocks: readonly ClientBlock[]): ClientBlocks {
-		const sorted = blocks.toSorted((a, b) => a.start - b.start || a.length - b.length);
-		const ranges = flatten(sorted);
-		const starts = new Uint32Array(ranges.length);
-		const sites = new Uint16Array(ranges.length);
-		for (const [index, range] of ranges.entries()) {
-			starts[index] = range.start;
-			sites[index] = range.site;
-		}
-
-		return new ClientBlocks(starts, sites);
+		const ranges = flatten(blocks, sortedOrder(blocks));
+		return new ClientBlocks(ranges.starts, ranges.sites);
 	}
 
 	readonly #starts: Uint32Array;
@@ -81,16 +76,30 @@
 	}
 }
 
-/** Turns nested blocks, sorted by start and then by length, into ranges that follow each other. */
-function flatten(sorted: readonly ClientBlock[]): Range[] {
-	const ranges: Range[] = [];
-	const open: Range[] = [];
+/** Positions of the blocks by start and then by length. */
+function sortedOrder(blocks: readonly ClientBlock[]): Uint32Array {
+	const keys = new Float64Array(blocks.length);
+	for (const [index, block] of blocks.entries()) {
+		keys[index] = (block.start * lengthRange) + block.length;
+	}
+
+	const order = Uint32Array.from(keys.keys());
+	return order.sort((a, b) => keys[a]! - keys[b]!);
+}
+
+/** Turns nested blocks into ranges that follow each other; a range ends where the next begins. */
+function flatten(blocks: readonly ClientBlock[], order: Uint32Array): {readonly starts: Uint32Array; readonly sites: Uint16Array} {
+	const starts = new Uint32Array((2 * blocks.length) + 1);
+	const sites = new Uint16Array((2 * blocks.length) + 1);
+	const open: Open[] = [];
+	let count = 0;
 	let position = 0;
 	const emit = (until: number) => {
 		const site = open.at(-1)?.site ?? noSite;
-		const last = ranges.at(-1);
-		if (until > position && last?.site !== site) {
-			ranges.push({start: position, end: until, site});
+		if (until > position && (count === 0 || sites[count - 1] !== site)) {
+			starts[count] = position;
+			sites[count] = site;
+			count++;
 		}
 
 		position = Math.max(position, until);
@@ -103,13 +112,14 @@
 		}
 	};
 
-	for (const block of sorted) {
+	for (const index of order) {
+		const block = blocks[index]!;
 		closeUntil(block.start);
 		emit(block.start);
-		open.push({start: block.start, end: block.start + (2 ** (32 - block.length)), site: block.site});
+		open.push({end: block.start + (2 ** (32 - block.length)), site: block.site});
 	}
 
 	closeUntil(addressSpace);
 	emit(addressSpace);
-	return ranges;
+	return {starts: starts.slice(0, count), sites: sites.slice(0, count)};
 }
--- a/src/decisions/dispatcher.ts
+++ b/src/decisions/dispatcher.ts
@@ -141,6 +141,21 @@
 		return this.#queues.get(className)?.size ?? 0;
 	}
 
+	/** Wait until a new request would start, from the requests ahead of it and the rate at which its class starts. */
+	expectedWait(className: string, caller: string, nowMs: number): number {
+		const def = this.#classes.get(className);
+		if (def === undefined || ![...this.#instances.values()].some(instance => instance.isUp && !instance.isLeaving)) {
+			return def === undefined ? 0 : Number.POSITIVE_INFINITY;
+		}
+
+		if (this.headroom(nowMs) > 0) {
+			return 0;
+		}
+
+		const ahead = this.queuedOf(className) === 0 ? 0 : this.#queueOf(className).ahead(caller);
+		return ((ahead + 1) * 1000) / this.#classRate(def, nowMs);
+	}
+
 	/** State of each instance, for operators. */
 	instances(nowMs: number): ReadonlyArray<{id: string; address: string; inFlight: number; limit: number; isLeaving: boolean; isUp: boolean}> {
 		return [...this.#instances.values()].map(instance => ({
@@ -258,6 +273,21 @@
 		return true;
 	}
 
+	/** Removes the next request in turn that has waited for longer than its class's `patience` allows, in milliseconds. */
+	takeWaiting(patience: (className: string) => number, nowMs: number): string | undefined {
+		for (const [className, queue] of this.#queues) {
+			const next = queue.peek();
+			if (next !== undefined && nowMs - next.arrivedMs > patience(className)) {
+				queue.remove(next.id, next.caller);
+				this.#queued--;
+				this.#work.delete(next.id);
+				return next.id;
+			}
+		}
+
+		return undefined;
+	}
+
 	/** Takes in what a health check, the host list or a peer says of an instance. */
 	observe(instanceId: string, state: 'live' | 'leaving' | 'unreachable', nowMs: number): DispatchEffect[] {
 		const instance = this.#instances.get(instanceId);
@@ -456,21 +486,6 @@
 		return (Math.max(1, this.usableSlots(nowMs)) * 1000) / Math.max(0.5, this.#serviceMs);
 	}
 
-	/** Wait until a new request would start, from the requests ahead of it and the rate at which its class starts. */
-	expectedWait(className: string, caller: string, nowMs: number): number {
-		const def = this.#classes.get(className);
-		if (def === undefined || ![...this.#instances.values()].some(instance => instance.isUp && !instance.isLeaving)) {
-			return def === undefined ? 0 : Number.POSITIVE_INFINITY;
-		}
-
-		if (this.headroom(nowMs) > 0) {
-			return 0;
-		}
-
-		const ahead = this.queuedOf(className) === 0 ? 0 : this.#queueOf(className).ahead(caller);
-		return ((ahead + 1) * 1000) / this.#classRate(def, nowMs);
-	}
-
 	/** Starts a second that a class can count on: its floor, or what the more urgent classes leave. */
 	#classRate(def: DispatchClass, nowMs: number): number {
 		const capacity = this.#capacity(nowMs);
--- a/src/decisions/grant-book.ts
+++ b/src/decisions/grant-book.ts
@@ -41,6 +41,11 @@
 		return undefined;
 	}
 
+	/** Whether some credit is at hand. */
+	hasCredit(nowMs: number): boolean {
+		return [...this.#credits.values()].some(credits => credits.some(credit => credit.expiresMs > nowMs && credit.requests > 0));
+	}
+
 	/** Takes in a grant that was asked for at `askedMs`. */
 	add(region: string, grant: Grant, askedMs: number): void {
 		const credits = this.#credits.get(region) ?? [];
--- a/src/decisions/membership.ts
+++ b/src/decisions/membership.ts
@@ -53,6 +53,8 @@
 const newsFanOut = 3;
 /** Hosts of a region that other regions are told of. */
 const summaryHosts = 8;
+/** Other regions that a delegate speaks with in one period. */
+const regionsPerPeriod = 2;
 /** Hosts of a region that speak with other regions. */
 const delegates = 2;
 /** Time for which a dead member is remembered, in milliseconds. */
@@ -89,6 +91,7 @@
 	#lastTickMs: number | undefined;
 	#lastSyncMs = Number.NEGATIVE_INFINITY;
 	#seq = 0;
+	#regionTurn = 0;
 	#incarnation = 0;
 	#isLeaving = false;
 	#rejoinSinceMs: number | undefined;
@@ -186,7 +189,7 @@
 		this.#revision = revision;
 		const peers = this.#random.sample(this.#othersAlive(), newsFanOut);
 		const news = peers.map(member => this.#send(member.peers, {kind: 'news', ...this.#common(0)}));
-		return this.isDelegate() ? [...news, ...this.#regionMessages(false)] : news;
+		return this.isDelegate() ? [...news, ...this.#reachableRegions().flatMap(region => this.#askRegion(region))] : news;
 	}
 
 	/** Addresses from the platform's list at which daemons may be found. */
@@ -290,15 +293,20 @@
 			}
 
 			case 'region': {
-				return message.isReply
-					? []
-					: [this.#send(message.address, {
-						kind: 'region', isReply: true, ...this.#common(0), summaries: [this.#ownSummary()],
-					})];
+				return this.#answerRegion(message, nowMs);
 			}
 		}
 	}
 
+	/** Sends the other region its due: the own summary if it knows another one, and the news of what is known here. */
+	#answerRegion(message: GossipMessage & {kind: 'region'}, nowMs: number): MembershipEffect[] {
+		this.#regions.touch(message.region, nowMs);
+		this.#regions.noteVersion(message.knownVersion, message.knownHash);
+		const isKnown = message.knownHash === this.#regions.ownMark(this.#summaryHosts()).hash;
+		const isDue = message.step === 0 || (message.step === 1 && !isKnown);
+		return isDue ? [this.#regionMessage(message.address, message.region, message.step + 1, !isKnown)] : [];
+	}
+
 	#takeAck(seq: number, nowMs: number): MembershipEffect[] {
 		const relay = this.#relayed.get(seq);
 		if (relay !== undefined) {
@@ -579,24 +587,47 @@
 		return this.#random.sample(this.#othersAlive(), newsFanOut).map(member => this.#send(member.peers, {kind: 'news', ...this.#common()}));
 	}
 
+	/** Speaks with a few other regions in turn. */
 	#exchangeRegions(): MembershipEffect[] {
-		return this.isDelegate() ? this.#regionMessages(false) : [];
+		if (!this.isDelegate()) {
+			return [];
+		}
+
+		const regions = this.#reachableRegions();
+		const first = this.#regionTurn;
+		this.#regionTurn += regionsPerPeriod;
+		const count = Math.min(regionsPerPeriod, regions.length);
+		return Array.from({length: count}, (_, index) => regions[(first + index) % regions.length]!).flatMap(region => this.#askRegion(region));
 	}
 
-	#regionMessages(isReply: boolean): MembershipEffect[] {
-		const effects: MembershipEffect[] = [];
-		for (const region of new Set([...this.#regions.names(), ...this.#foreignHints.keys()])) {
-			const known = this.#regions.hostsOf(region).map(member => member.peers);
-			const hints = this.#foreignHints.get(region) ?? [];
-			const address = this.#random.sample(known.length > 0 && this.#random.below(4) > 0 ? known : [...known, ...hints], 1)[0];
-			if (region !== this.#self.region && address !== undefined) {
-				effects.push(this.#send(address, {
-					kind: 'region', isReply, ...this.#common(0), summaries: [this.#ownSummary()],
-				}));
-			}
-		}
+	#reachableRegions(): string[] {
+		const regions = new Set([...this.#regions.names(), ...this.#foreignHints.keys()]);
+		regions.delete(this.#self.region);
+		return [...regions].toSorted();
+	}
 
-		return effects;
+	#askRegion(region: string): MembershipEffect[] {
+		const known = this.#regions.hostsOf(region).map(member => member.peers);
+		const hints = this.#foreignHints.get(region) ?? [];
+		const candidates = known.length > 0 && this.#random.below(4) > 0 ? known : [...known, ...hints];
+		const [address] = this.#random.sample(candidates, 1);
+		return address === undefined ? [] : [this.#regionMessage(address, region, 0, false)];
+	}
+
+	#regionMessage(address: string, region: string, step: number, isTold: boolean): MembershipEffect {
+		const own = this.#regions.ownMark(this.#summaryHosts());
+		const known = this.#regions.knownOf(region);
+		return this.#send(address, {
+			kind: 'region',
+			step,
+			region: this.#self.region,
+			ownVersion: own.version,
+			ownHash: own.hash,
+			knownVersion: known.version,
+			knownHash: known.hash,
+			...this.#common(0),
+			summaries: isTold ? [this.#regions.own(this.#summaryHosts())] : [],
+		});
 	}
 
 	#takeSummary(summary: RegionSummary, nowMs: number): MembershipEffect[] {
@@ -607,8 +638,8 @@
 		return [{kind: 'changed'}];
 	}
 
-	#ownSummary(): RegionSummary {
-		return this.#regions.own(this.#order().slice(0, summaryHosts));
+	#summaryHosts(): readonly Member[] {
+		return this.#order().slice(0, summaryHosts);
 	}
 
 	#othersAlive(): readonly Member[] {
--- a/src/decisions/region-table.ts
+++ b/src/decisions/region-table.ts
@@ -1,5 +1,6 @@
 import {type Member} from '../contracts/member.js';
 import {type RegionSummary} from '../contracts/region-summary.js';
+import {hashText} from './hash-text.js';
 import {memberKey} from './member-key.js';
 import {UpdateQueue} from './update-queue.js';
 
@@ -31,13 +32,38 @@
 		return heardMs === undefined ? Number.POSITIVE_INFINITY : nowMs - heardMs;
 	}
 
+	/** Takes in that a region was heard from. */
+	touch(region: string, nowMs: number): void {
+		const current = this.#entries.get(region);
+		if (current !== undefined) {
+			this.#entries.set(region, {...current, heardMs: nowMs});
+		}
+	}
+
+	/** Version and hash of what is known of another region. */
+	knownOf(region: string): {readonly version: number; readonly hash: number} {
+		const summary = this.#entries.get(region)?.summary;
+		return summary === undefined ? {version: 0, hash: 0} : {version: summary.version, hash: hashOf(summary)};
+	}
+
+	/** Version and hash of the own region's summary. */
+	ownMark(hosts: readonly Member[]): {readonly version: number; readonly hash: number} {
+		const own = this.own(hosts);
+		return {version: own.version, hash: hashOf(own)};
+	}
+
+	/** Takes in what another region knows of the own one: later own versions have to exceed it. */
+	noteVersion(version: number, hash: number): void {
+		const isOther = hash !== hashOf(this.#ownSummary);
+		if (version > this.#ownSummary.version || (isOther && version === this.#ownSummary.version)) {
+			this.#ownSummary = {...this.#ownSummary, version: isOther ? version + 1 : version};
+		}
+	}
+
 	/** Takes in a summary; answers whether it changed what is known. News is passed on `limit` times. */
 	take(summary: RegionSummary, nowMs: number, limit: number): boolean {
 		this.#newsLimit = limit;
 		if (summary.region === this.#own) {
-			// Another delegate's version of the own region: later own versions have to exceed it.
-			const version = Math.max(this.#ownSummary.version, summary.version);
-			this.#ownSummary = {...this.#ownSummary, version};
 			return false;
 		}
 
@@ -71,6 +97,11 @@
 	}
 }
 
+/** Hash of a summary's hosts; 0 stands for none. */
+function hashOf(summary: RegionSummary): number {
+	return summary.hosts.length === 0 ? 0 : hashText(hostNames(summary));
+}
+
 function hostNames(summary: RegionSummary): string {
 	return summary.hosts.map(member => memberKey(member)).join(' ');
 }
--- a/src/services/dispatch-service.ts
+++ b/src/services/dispatch-service.ts
@@ -103,6 +103,7 @@
 				this.#run(owned, owned.dispatcher.tick(this.#options.clock.nowMs()));
 			}
 
+			this.#redistribute();
 			this.#askForCredits();
 		});
 		lifecycle.every('instance health', healthIntervalMs, () => {
@@ -164,6 +165,16 @@
 		}, nowMs);
 	}
 
+	/** Takes in word that an instance is leaving or gone, from whatever source. */
+	observe(instanceAddress: string, state: 'leaving' | 'unreachable'): void {
+		for (const owned of this.#owned.values()) {
+			const id = this.#instanceIds(owned).get(instanceAddress);
+			if (id !== undefined) {
+				this.#run(owned, owned.dispatcher.observe(id, state, this.#options.clock.nowMs()));
+			}
+		}
+	}
+
 	/** Runs a request of the own region here, or elsewhere on a credit when the wait here is beyond its class's target. */
 	async #runOwn(owned: Owned, job: Job): Promise<Outcome> {
 		const {clock, shift} = this.#options;
@@ -206,16 +217,6 @@
 		});
 	}
 
-	/** Takes in word that an instance is leaving or gone, from whatever source. */
-	observe(instanceAddress: string, state: 'leaving' | 'unreachable'): void {
-		for (const owned of this.#owned.values()) {
-			const id = this.#instanceIds(owned).get(instanceAddress);
-			if (id !== undefined) {
-				this.#run(owned, owned.dispatcher.observe(id, state, this.#options.clock.nowMs()));
-			}
-		}
-	}
-
 	#ownedOf(name: string, service: ServiceFile): Owned {
 		let owned = this.#owned.get(name);
 		if (owned === undefined) {
@@ -372,6 +373,28 @@
 		return def?.targetMs ?? shortestOverdueMs;
 	}
 
+	/** Sends away requests that wait here beyond their class's target while other regions have granted credits. */
+	#redistribute(): void {
+		const {clock, shift} = this.#options;
+		const nowMs = clock.nowMs();
+		for (const [service, owned] of this.#owned) {
+			const targets = new Map(this.#options.config.current?.service(service)?.classes.map(def => [def.name, def.targetMs]));
+			const patience = (className: string) => targets.get(className) ?? Number.POSITIVE_INFINITY;
+			while (owned.book.hasCredit(nowMs)) {
+				const id = owned.dispatcher.takeWaiting(patience, nowMs);
+				const pending = id === undefined ? undefined : owned.pending.get(id);
+				const region = pending === undefined ? undefined : owned.book.take(pending.job.body.byteLength, nowMs);
+				if (pending === undefined || region === undefined) {
+					break;
+				}
+
+				void shift.send(region, pending.job).then(outcome => {
+					this.#settle(owned, pending.id, outcome);
+				});
+			}
+		}
+	}
+
 	#askForCredits(): void {
 		const {shift, clock} = this.#options;
 		for (const [service, owned] of this.#owned) {
--- /dev/null
+++ b/src/services/gossip-wire.test.ts
@@ -0,0 +1,57 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {type GossipMessage} from '../contracts/gossip-message.js';
+import {gossipWire} from './gossip-wire.js';
+
+const member = {
+	id: 'dsm-a-1', boot: '0123abcd', region: 'dsm', zone: 'dsm-a', callers: '127.0.0.1:1', peers: '127.0.0.1:2',
+};
+const common = {
+	from: 'dsm-a-1/0123abcd',
+	address: '127.0.0.1:2',
+	revision: 7,
+	viewHash: 123,
+	updates: [{
+		member, incarnation: 3, status: 'suspect' as const, isLeaving: true,
+	}],
+	summaries: [{region: 'aru', version: 4, hosts: [member]}],
+};
+const messages: readonly GossipMessage[] = [
+	{
+		kind: 'ping', seq: 1, to: 'x/1', ...common,
+	},
+	{kind: 'ack', seq: 2, ...common},
+	{
+		kind: 'ping-req', seq: 3, target: 'x/1', targetAddress: '127.0.0.1:3', ...common,
+	},
+	{kind: 'gone', gone: 'x/1', ...common},
+	{kind: 'news', ...common},
+	{
+		kind: 'region', step: 1, region: 'dsm', ownVersion: 1, ownHash: 2, knownVersion: 3, knownHash: 4, ...common,
+	},
+];
+
+describe('gossip datagrams', () => {
+	it.each(messages)('carry a $kind unchanged', message => {
+		expect(gossipWire.decode(gossipWire.encode(message))).toEqual(message);
+	});
+
+	it('are refused, not thrown at, when they are malformed', () => {
+		fc.assert(fc.property(fc.uint8Array({maxLength: 300}), data => {
+			expect(gossipWire.decode(data)).toBeUndefined();
+		}), {seed: 5, numRuns: 2000});
+	});
+
+	it('are refused when any one byte of them is damaged beyond its meaning', () => {
+		const whole = gossipWire.encode(messages[0]!);
+		fc.assert(fc.property(fc.nat(whole.length - 1), fc.nat(255), (place, value) => {
+			const damaged = Uint8Array.from(whole);
+			damaged[place] = value;
+			expect(() => gossipWire.decode(damaged)).not.toThrow();
+		}), {seed: 6, numRuns: 2000});
+	});
+
+	it('take under 110 bytes when there is no news', () => {
+		expect(gossipWire.encode({...messages[0]!, updates: [], summaries: []}).byteLength).toBeLessThan(110);
+	});
+});
--- /dev/null
+++ b/src/services/gossip-wire.ts
@@ -0,0 +1,86 @@
+import {decode, encode} from '@msgpack/msgpack';
+import {GossipMessage} from '../contracts/gossip-message.js';
+import {type Member} from '../contracts/member.js';
+import {type MemberUpdate} from '../contracts/member-update.js';
+import {type RegionSummary} from '../contracts/region-summary.js';
+
+const statuses = ['alive', 'suspect', 'dead'] as const;
+
+/** Datagrams between daemons: MessagePack with fields by position, a fifth of the size of named ones. */
+export const gossipWire = {
+	encode(message: GossipMessage): Uint8Array {
+		const {
+			kind, from, address, revision, viewHash, updates, summaries, ...rest
+		} = message;
+		return encode([kind, from, address, revision, viewHash, updates.map(update => packUpdate(update)), summaries.map(summary => packSummary(summary)), ...packRest(kind, rest)]);
+	},
+
+	/** Reads a datagram; `undefined` when it is malformed. */
+	decode(data: Uint8Array): GossipMessage | undefined {
+		try {
+			const [kind, from, address, revision, viewHash, updates, summaries, ...rest] = decode(data) as [string, unknown, unknown, unknown, unknown, unknown[][], unknown[][], ...unknown[]];
+			const parsed = GossipMessage.safeParse({
+				kind,
+				from,
+				address,
+				revision,
+				viewHash,
+				updates: updates.map(fields => unpackUpdate(fields)),
+				summaries: summaries.map(fields => unpackSummary(fields)),
+				...unpackRest(kind, rest),
+			});
+			return parsed.success ? parsed.data : undefined;
+		} catch {
+			return undefined;
+		}
+	},
+};
+
+/** Names of the fields that follow the common ones, by kind and in their order on the wire. */
+const restFields: Readonly<Record<string, readonly string[]>> = {
+	ping: ['seq', 'to'],
+	ack: ['seq'],
+	'ping-req': ['seq', 'target', 'targetAddress'],
+	gone: ['gone'],
+	news: [],
+	region: ['step', 'region', 'ownVersion', 'ownHash', 'knownVersion', 'knownHash'],
+};
+
+function packRest(kind: string, fields: Readonly<Record<string, unknown>>): unknown[] {
+	return (restFields[kind] ?? []).map(name => fields[name]);
+}
+
+function unpackRest(kind: string, values: readonly unknown[]): Record<string, unknown> {
+	return Object.fromEntries((restFields[kind] ?? []).map((name, index) => [name, values[index]]));
+}
+
+function packMember(member: Member): unknown[] {
+	return [member.id, member.boot, member.region, member.zone, member.callers, member.peers];
+}
+
+function unpackMember(fields: readonly unknown[]): Record<string, unknown> {
+	const [id, boot, region, zone, callers, peers] = fields;
+	return {
+		id, boot, region, zone, callers, peers,
+	};
+}
+
+function packUpdate(update: MemberUpdate): unknown[] {
+	return [packMember(update.member), update.incarnation, statuses.indexOf(update.status), update.isLeaving];
+}
+
+function unpackUpdate(fields: readonly unknown[]): Record<string, unknown> {
+	const [member, incarnation, status, isLeaving] = fields;
+	return {
+		member: unpackMember(member as unknown[]), incarnation, status: statuses[status as number], isLeaving,
+	};
+}
+
+function packSummary(summary: RegionSummary): unknown[] {
+	return [summary.region, summary.version, summary.hosts.map(host => packMember(host))];
+}
+
+function unpackSummary(fields: readonly unknown[]): Record<string, unknown> {
+	const [region, version, hosts] = fields;
+	return {region, version, hosts: (hosts as unknown[][]).map(host => unpackMember(host))};
+}
--- a/src/services/members-service.ts
+++ b/src/services/members-service.ts
@@ -1,8 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {createSocket} from 'node:dgram';
-import {decode, encode} from '@msgpack/msgpack';
 import {type Clock} from '../contracts/clock.js';
-import {GossipMessage} from '../contracts/gossip-message.js';
+import {type GossipMessage} from '../contracts/gossip-message.js';
 import {type HostList} from '../contracts/host-list.js';
 import {type Member} from '../contracts/member.js';
 import {type MemberUpdate} from '../contracts/member-update.js';
@@ -10,6 +9,7 @@
 import {type Membership} from '../decisions/membership.js';
 import {rendezvousOrder} from '../decisions/rendezvous-order.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
+import {gossipWire} from './gossip-wire.js';
 import {type Logger} from './logger.js';
 import {type Metrics} from './metrics.js';
 import {type PeerClient} from './peer-client.js';
@@ -171,17 +171,17 @@
 		const {metrics, clock} = this.#options;
 		metrics.count('gossip_received_bytes', {}, data.byteLength + datagramOverhead);
 		metrics.count('gossip_received_messages');
-		const message = GossipMessage.safeParse(decodeQuietly(data));
-		if (!message.success) {
+		const message = gossipWire.decode(data);
+		if (message === undefined) {
 			metrics.count('gossip_invalid_messages');
 			return;
 		}
 
-		this.run(this.membership.receive(message.data, clock.nowMs()));
+		this.run(this.membership.receive(message, clock.nowMs()));
 	}
 
 	#send(address: string, message: GossipMessage): void {
-		const data = encode(message);
+		const data = gossipWire.encode(message);
 		const [host, port] = address.split(':');
 		this.#options.metrics.count('gossip_sent_bytes', {}, data.byteLength + datagramOverhead);
 		this.#options.metrics.count('gossip_sent_messages');
@@ -223,11 +223,3 @@
 
 	return groups;
 }
-
-function decodeQuietly(data: Uint8Array): unknown {
-	try {
-		return decode(data);
-	} catch {
-		return undefined;
-	}
-}
--- a/tools/measure-stop.ts
+++ b/tools/measure-stop.ts
@@ -29,7 +29,6 @@
 		const table = new LatencyTable();
 		const drainMs: number[] = [];
 		const exitCodes: number[] = [];
-		let isLoading = true;
 		const loading = runLoad({
 			streams: streamsOf(fleet.publication, priority => rates[priority] ?? 0),
 			callers,
@@ -39,11 +38,8 @@
 				table.add(stream.className, outcome, latencyMs, isOwn);
 			},
 		});
-		void loading.finally(() => {
-			isLoading = false;
-		});
 		await delay(warmUpMs);
-		for (let index = 0; index < stops && isLoading; index++) {
+		for (let index = 0; index < stops; index++) {
 			const {id} = fleet.hosts[index * 3]!;
 			const startMs = performance.now();
 			exitCodes.push(await fleet.stopDaemon(id));
