The caller library asks elsewhere when its host falls silent; one piece for waits on peers

Ruled out: giving each host half of the time left; it would send queued requests twice in an overload and lose their place. Change: a host that has not answered is checked by a look-up each 700 ms; if that is silent too, the request is asked for elsewhere, a keyed one under its key. Test: a host that falls silent after the look-up (whole answer from the other host).

Waiting for a peer that may be lost stood in two services, reading a manifest in two places; each is one module now.

--- a/src/caller.ts
+++ b/src/caller.ts
@@ -54,6 +54,9 @@
 const shortestPauseMs = 20;
 /** Part of the deadline kept back for hearing the outcome, in milliseconds. */
 const hearingMs = 50;
+/** Interval at which a host that has not answered yet is checked by a look-up, and the time allowed for that, in milliseconds. */
+const checkIntervalMs = 700;
+const checkTimeoutMs = 600;
 
 /**
  * Client of the system: looks a service up, caches the answer, sends requests, and sends one again only when that
@@ -182,7 +185,7 @@
 
 	async #lookupAt(address: string, service: string): Promise<LookupAnswer | undefined> {
 		const result = await this.#exchange(address, {
-			method: 'GET', path: `/v1/lookup/${service}`, headers: {}, body: undefined, timeoutMs: lookupTimeoutMs,
+			method: 'GET', path: `/v1/lookup/${service}`, headers: {}, body: undefined, timeoutMs: lookupTimeoutMs, signal: undefined,
 		});
 		if (result.kind === 'not_sent' || result.kind === 'overdue') {
 			this.#avoided.set(address, monotonicClock.nowMs() + avoidMs);
@@ -211,9 +214,19 @@
 			headers.traceparent = req.traceparent;
 		}
 
+		const controller = new AbortController();
+		const checks = setInterval(() => {
+			void this.#abandonIfSilent(address, req.service, controller);
+		}, checkIntervalMs);
 		const result = await this.#exchange(address, {
-			method: req.method ?? 'POST', path: `/v1/call/${req.service}${req.path ?? '/'}`, headers, body: req.body, timeoutMs: remainingMs,
+			method: req.method ?? 'POST',
+			path: `/v1/call/${req.service}${req.path ?? '/'}`,
+			headers,
+			body: req.body,
+			timeoutMs: remainingMs,
+			signal: controller.signal,
 		});
+		clearInterval(checks);
 		if (result.kind === 'not_sent' || result.kind === 'lost') {
 			this.#avoided.set(address, monotonicClock.nowMs() + avoidMs);
 		}
@@ -221,9 +234,20 @@
 		return toTry(result);
 	}
 
-	async #exchange(address: string, request: Pick<Parameters<typeof httpExchange>[0], 'method' | 'path' | 'headers' | 'body' | 'timeoutMs'>): Promise<ExchangeResult> {
+	/** A host that does not answer a look-up either is frozen or gone: what was sent to it is asked for elsewhere. */
+	async #abandonIfSilent(address: string, service: string, controller: AbortController): Promise<void> {
+		const check = await this.#exchange(address, {
+			method: 'GET', path: `/v1/lookup/${service}`, headers: {}, body: undefined, timeoutMs: checkTimeoutMs, signal: undefined,
+		});
+		if (check.kind !== 'answered') {
+			this.#avoided.set(address, monotonicClock.nowMs() + avoidMs);
+			controller.abort();
+		}
+	}
+
+	async #exchange(address: string, request: Pick<Parameters<typeof httpExchange>[0], 'method' | 'path' | 'headers' | 'body' | 'timeoutMs' | 'signal'>): Promise<ExchangeResult> {
 		return httpExchange({
-			...request, pool: this.#pools.get(address), maxAnswerBytes: this.#maxAnswerBytes, signal: undefined, startMs: monotonicClock.nowMs(),
+			...request, pool: this.#pools.get(address), maxAnswerBytes: this.#maxAnswerBytes, startMs: monotonicClock.nowMs(),
 		});
 	}
 }
@@ -243,7 +267,7 @@
 		return false;
 	}
 
-	return req.isRepeatable || (!isReported && outcome.reason !== 'answer_overdue');
+	return req.isRepeatable || !isReported;
 }
 
 function toTry(result: ExchangeResult): Try {
@@ -260,8 +284,11 @@
 			};
 		}
 
-		case 'overdue':
 		case 'cancelled': {
+			return {outcome: {kind: 'unknown', reason: 'host_lost', detail: 'the entry host fell silent'}, isKeySpent: false, isReported: false};
+		}
+
+		case 'overdue': {
 			return {outcome: {kind: 'unknown', reason: 'answer_overdue', detail: 'no answer within the deadline'}, isKeySpent: false, isReported: false};
 		}
 
--- a/src/publisher.ts
+++ b/src/publisher.ts
@@ -1,5 +1,6 @@
 import {randomBytes} from 'node:crypto';
-import {Manifest} from './config/manifest.js';
+import {type Manifest} from './config/manifest.js';
+import {parseManifest} from './config/parse-manifest.js';
 import {type Publication} from './config/publication.js';
 import {type Store} from './contracts/store.js';
 import {type Result} from './result.js';
@@ -202,13 +203,3 @@
 		...(from?.drained ?? []).filter(item => !after.has(item)).map(item => `- drained ${item}`),
 	];
 }
-
-function parseManifest(text: string): Manifest | undefined {
-	try {
-		const parsed = Manifest.safeParse(JSON.parse(text));
-		return parsed.success ? parsed.data : undefined;
-	} catch {
-		return undefined;
-	}
-}
-
--- a/src/services/config-service.ts
+++ b/src/services/config-service.ts
@@ -1,5 +1,5 @@
 import {type Configuration} from '../config/configuration.js';
-import {Manifest} from '../config/manifest.js';
+import {parseManifest} from '../config/parse-manifest.js';
 import {type Clock} from '../contracts/clock.js';
 import {ConfigPull} from '../contracts/config-pull.js';
 import {type Store} from '../contracts/store.js';
@@ -214,15 +214,6 @@
 	}
 }
 
-function parseManifest(text: string): Manifest | undefined {
-	try {
-		const parsed = Manifest.safeParse(JSON.parse(text));
-		return parsed.success ? parsed.data : undefined;
-	} catch {
-		return undefined;
-	}
-}
-
 async function pause(ms: number, signal: AbortSignal): Promise<void> {
 	return new Promise(resolve => {
 		const timer = setTimeout(resolve, ms);
--- a/src/services/home-service.ts
+++ b/src/services/home-service.ts
@@ -14,6 +14,7 @@
 import {type MembersService} from './members-service.js';
 import {type Metrics} from './metrics.js';
 import {type PeerClient} from './peer-client.js';
+import {PeerWaits} from './peer-waits.js';
 import {type RouteService} from './route-service.js';
 import {tokenWire} from './token-wire.js';
 
@@ -42,8 +43,8 @@
 	readonly #options: HomeOptions;
 	readonly #joined = new Map<string, Promise<Outcome>>();
 	readonly #replicating = new Set<Promise<void>>();
-	/** Requests on their way to each home, to be taken to the backup when the home is suspected. */
-	readonly #waiting = new Map<string, Set<AbortController>>();
+	/** Requests on their way to each home, to be taken to the backup when the home is lost. */
+	readonly #waits = new PeerWaits();
 	#current: Current | undefined;
 	#isOpening = false;
 
@@ -75,7 +76,7 @@
 		});
 		members.onChange(() => {
 			this.#sealLostBackups();
-			this.#abandonSuspects();
+			this.#waits.abandon(key => members.membership.statusOf(key) === 'dead');
 		});
 	}
 
@@ -224,11 +225,10 @@
 				break;
 			}
 
-			const controller = new AbortController();
-			const stop = this.#watchHome(token.home, job, controller);
+			const wait = this.#waits.begin(token.home, job.signal);
 			const remainingMs = job.deadlineMs - clock.nowMs();
-			const result = await peerClient.forward({address: token.homeAddress, role: 'home'}, {...job.work, remainingMs}, job.body, controller.signal);
-			stop();
+			const result = await peerClient.forward({address: token.homeAddress, role: 'home'}, {...job.work, remainingMs}, job.body, wait.signal);
+			wait.stop();
 			if (result.kind === 'outcome' && !isForeignLife(result.outcome)) {
 				return result.outcome;
 			}
@@ -263,34 +263,6 @@
 		}
 	}
 
-	#watchHome(key: string, job: Job, controller: AbortController): () => void {
-		const leave = () => {
-			controller.abort();
-		};
-
-		job.signal.addEventListener('abort', leave, {once: true});
-		const waiting = this.#waiting.get(key) ?? new Set();
-		waiting.add(controller);
-		this.#waiting.set(key, waiting);
-		return () => {
-			job.signal.removeEventListener('abort', leave);
-			waiting.delete(controller);
-			if (waiting.size === 0) {
-				this.#waiting.delete(key);
-			}
-		};
-	}
-
-	#abandonSuspects(): void {
-		for (const [key, waiting] of this.#waiting) {
-			if (this.#options.members.membership.statusOf(key) === 'dead') {
-				for (const controller of waiting) {
-					controller.abort();
-				}
-			}
-		}
-	}
-
 	#sealLostBackups(): void {
 		const {members, ledger} = this.#options;
 		for (const update of members.membership.updates()) {
--- a/src/services/route-service.ts
+++ b/src/services/route-service.ts
@@ -10,6 +10,7 @@
 import {type MembersService} from './members-service.js';
 import {type Metrics} from './metrics.js';
 import {type PeerClient} from './peer-client.js';
+import {PeerWaits} from './peer-waits.js';
 import {type Tracer} from './tracer.js';
 
 type RouteOptions = {
@@ -31,13 +32,13 @@
 	readonly #options: RouteOptions;
 	readonly #retries = new RetryBudget({ratio: 0.1, burst: 50});
 	readonly #refusals = new RefusalMemory();
-	/** Repeatable requests on their way to each member; given up when the member is suspected. */
-	readonly #waiting = new Map<string, Set<AbortController>>();
+	/** Repeatable requests on their way to each owner; given up when the owner is suspected. */
+	readonly #waits = new PeerWaits();
 
 	constructor(options: RouteOptions) {
 		this.#options = options;
 		options.members.onChange(() => {
-			this.#abandonSuspects();
+			this.#waits.abandon(key => options.members.membership.statusOf(key) !== 'alive');
 		});
 	}
 
@@ -88,13 +89,12 @@
 	async #forward(job: Job, owner: Member): Promise<Outcome> {
 		const {peerClient, clock, members, tracer, metrics} = this.#options;
 		const key = memberKey(owner);
-		const controller = new AbortController();
-		const stop = this.#watchOwner(key, job, controller);
+		const wait = job.isRepeatable ? this.#waits.begin(key, job.signal) : undefined;
 		const span = tracer.start('dispatcher', job.work.traceparent, {owner: owner.id});
 		const remainingMs = job.deadlineMs - clock.nowMs();
 		metrics.count('requests_forwarded');
-		const result = await peerClient.forward({address: owner.peers, role: 'owner'}, {...job.work, remainingMs, traceparent: span.traceparent}, job.body, controller.signal);
-		stop();
+		const result = await peerClient.forward({address: owner.peers, role: 'owner'}, {...job.work, remainingMs, traceparent: span.traceparent}, job.body, wait?.signal ?? job.signal);
+		wait?.stop();
 		span.end(result.kind === 'outcome' ? result.outcome.kind : result.kind);
 		switch (result.kind) {
 			case 'outcome': {
@@ -129,35 +129,4 @@
 			}
 		}
 	}
-
-	#watchOwner(key: string, job: Job, controller: AbortController): () => void {
-		const leave = () => {
-			controller.abort();
-		};
-
-		job.signal.addEventListener('abort', leave, {once: true});
-		const waiting = this.#waiting.get(key) ?? new Set();
-		if (job.isRepeatable) {
-			waiting.add(controller);
-			this.#waiting.set(key, waiting);
-		}
-
-		return () => {
-			job.signal.removeEventListener('abort', leave);
-			waiting.delete(controller);
-			if (waiting.size === 0) {
-				this.#waiting.delete(key);
-			}
-		};
-	}
-
-	#abandonSuspects(): void {
-		for (const [key, waiting] of this.#waiting) {
-			if (this.#options.members.membership.statusOf(key) !== 'alive') {
-				for (const controller of waiting) {
-					controller.abort();
-				}
-			}
-		}
-	}
 }
--- a/test/caller-interface.test.ts
+++ b/test/caller-interface.test.ts
@@ -174,6 +174,30 @@
 	});
 
 	describe('the caller library', () => {
+		it('asks another host when one falls silent, under the same key', async () => {
+			const place = loopback();
+			const other = system.hosts[1]!.settings.listen.callers;
+			const token = system.hosts[1]!.kernel.get('home').token!;
+			const found = JSON.stringify({
+				service: 'bids', hosts: [{address: `${place}:7000`, region: 'dsm', zone: 'dsm-a'}, {address: other, region: 'dsm', zone: 'dsm-b'}], ttlMs: 10_000, token, revision: 1,
+			});
+			let isSilent = false;
+			const server = new RawServer(text => {
+				const isLookup = text.includes('/lookup/');
+				const answer = isLookup && !isSilent ? `HTTP/1.1 200 OK\r\ncontent-length: ${found.length}\r\n\r\n${found}` : undefined;
+				isSilent ||= !isLookup;
+				return answer;
+			});
+			await server.listen(place, 7000);
+			const caller = new Caller({hosts: [`${place}:7000`]});
+			const outcome = await caller.send({
+				service: 'bids', className: 'bid', body: Buffer.from('silent'), deadlineMs: 5000, isRepeatable: false,
+			});
+			expect(outcome.kind).toBe('whole');
+			caller.close();
+			await server.close();
+		});
+
 		const whole = 'HTTP/1.1 200 OK\r\ncowslipspar-outcome: whole\r\n';
 
 		it.each([
