No false "not run" after several tries; drains of hosts; membership in smaller modules

Ruled out: the ledger and the callers' library (keyed requests were right, and the library already kept count of its own tries). Change: the dispatcher and the way to the owner remember that an earlier try may have run and then answer 'unknown'; the same piece serves the library.

Drains: a drained host, and the hosts of a drained zone or region, leave the look-ups and hand over what they own; before, they were only left out of the look-ups. Membership: table, probe targets and region exchange are modules of their own.

--- a/src/caller.ts
+++ b/src/caller.ts
@@ -5,6 +5,7 @@
 import {monotonicClock} from './adapters/monotonic-clock.js';
 import {PoolSet} from './adapters/pool-set.js';
 import {Outcome} from './contracts/outcome.js';
+import {honestOutcome} from './decisions/honest-outcome.js';
 import {type Result} from './result.js';
 
 type CallerOptions = {
@@ -157,8 +158,7 @@
 			await delay(pauseMs);
 		}
 
-		// A refusal of the latest copy says nothing of an earlier one whose outcome is unknown.
-		return isUncertain && last.kind === 'not-run' ? {kind: 'unknown', reason: 'host_lost', detail: 'an earlier copy of the request may have run'} : last;
+		return honestOutcome(last, isUncertain);
 	}
 
 	/** Forgets cached look-ups. */
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -260,9 +260,9 @@
 	const {limits, listen} = settings;
 	kernel
 		.add({
-			name: 'stop', requires: ['clock', 'logger', 'members', 'gateway', 'dispatch', 'home'],
+			name: 'stop', requires: ['clock', 'logger', 'members', 'config', 'gateway', 'dispatch', 'home'],
 			start: ({get}) => new StopService({
-				clock: get('clock'), logger: get('logger'), members: get('members'), gateway: get('gateway'), dispatch: get('dispatch'), home: get('home'), ...settings.stop,
+				clock: get('clock'), logger: get('logger'), members: get('members'), config: get('config'), gateway: get('gateway'), dispatch: get('dispatch'), home: get('home'), ...settings.stop,
 			}),
 		})
 		.add({
--- a/src/decisions/dispatcher.ts
+++ b/src/decisions/dispatcher.ts
@@ -3,6 +3,7 @@
 import {InstanceSlots} from './instance-slots.js';
 import {RateMeter} from './rate-meter.js';
 import {RetryBudget} from './retry-budget.js';
+import {ServiceTimes} from './service-times.js';
 
 type DispatchClass = {
 	readonly name: string;
@@ -49,12 +50,6 @@
 type FinishResult = Parameters<InstanceSlots['finish']>[0];
 
 /** Weight of the newest service time in the mean. */
-const serviceTimeWeight = 0.05;
-const transitWeight = 0.2;
-/** Share of a slot's time that may be lost in travel before requests are sent beyond the slots. */
-const idleShare = 0.05;
-/** Deviations beyond the mean within which nearly all service times lie. */
-const serviceDeviations = 4;
 /** Tries of one request in one owner's hands. */
 const maxTries = 3;
 /** Times that a refused caller is told to wait, in milliseconds. */
@@ -77,10 +72,7 @@
 	readonly #retries = new RetryBudget({ratio: 0.1, burst: 20});
 	#scheduler = new ClassScheduler([]);
 	#configured: ReadonlySet<string> | undefined;
-	#serviceMs: number;
-	/** Mean absolute deviation of the service time, in milliseconds. */
-	#deviationMs: number;
-	#transitMs = 0;
+	readonly #times: ServiceTimes;
 	#queued = 0;
 	#turn = 0;
 	readonly #isTakeover: boolean;
@@ -90,8 +82,7 @@
 	constructor(options: DispatcherOptions, nowMs: number, isTakeover: boolean) {
 		this.#options = options;
 		this.#startMs = nowMs;
-		this.#serviceMs = options.initialServiceMs;
-		this.#deviationMs = options.initialServiceMs / 2;
+		this.#times = new ServiceTimes(options.initialServiceMs);
 		this.#isTakeover = isTakeover;
 		this.#hasTakenOver = !isTakeover;
 	}
@@ -113,7 +104,7 @@
 
 	/** Mean time from start to answer, in milliseconds. */
 	get serviceMs(): number {
-		return this.#serviceMs;
+		return this.#times.meanMs;
 	}
 
 	/** Slots free now, less the requests that wait for them. */
@@ -162,7 +153,7 @@
 			id: instance.info.id,
 			address: instance.info.address,
 			inFlight: instance.inFlight,
-			limit: instance.limit(nowMs, this.#share(nowMs), this.#allowance()),
+			limit: instance.limit(nowMs, this.#share(nowMs), this.#times.allowance),
 			isLeaving: instance.isLeaving,
 			isUp: instance.isUp,
 		}));
@@ -216,7 +207,7 @@
 			return [this.#refuse(work.id, 'no_upstream', 'no instance of the service takes work in this region', noUpstreamRetryMs)];
 		}
 
-		if (nowMs + waitMs + this.#serviceBound > work.deadlineMs) {
+		if (nowMs + waitMs + this.#times.boundMs > work.deadlineMs) {
 			return [this.#refuse(work.id, 'deadline_unreachable', `the wait is expected to be ${Math.round(waitMs)} ms`, waitMs)];
 		}
 
@@ -241,9 +232,7 @@
 		}
 
 		if (result === 'done') {
-			const errorMs = nowMs - work.startedMs - this.#serviceMs;
-			this.#serviceMs += serviceTimeWeight * errorMs;
-			this.#deviationMs += serviceTimeWeight * (Math.abs(errorMs) - this.#deviationMs);
+			this.#times.observe(nowMs - work.startedMs);
 		}
 
 		const isProof = result === 'shed' || result === 'unreachable';
@@ -318,7 +307,7 @@
 
 	/** Takes in the time that a message to an instance and back took, in milliseconds. */
 	observeTransit(roundTripMs: number): void {
-		this.#transitMs += transitWeight * (roundTripMs - this.#transitMs);
+		this.#times.observeTransit(roundTripMs);
 	}
 
 	/** Advances time: starts what backoffs held back and drops what expired. */
@@ -326,7 +315,7 @@
 		this.#hasTakenOver ||= nowMs - this.#startMs >= this.#options.takeoverMs;
 		const effects: DispatchEffect[] = [];
 		for (const queue of this.#queues.values()) {
-			for (const work of queue.removeWhere(item => nowMs + this.#serviceBound > item.deadlineMs)) {
+			for (const work of queue.removeWhere(item => nowMs + this.#times.boundMs > item.deadlineMs)) {
 				effects.push(this.#dropQueued(work, nowMs));
 			}
 		}
@@ -349,23 +338,10 @@
 		return effects;
 	}
 
-	/** Time within which nearly every request is answered once it has started, in milliseconds. */
-	get #serviceBound(): number {
-		return this.#serviceMs + (serviceDeviations * this.#deviationMs);
-	}
-
 	#share(nowMs: number): number {
 		return this.#hasTakenOver || nowMs - this.#startMs >= this.#options.takeoverMs ? 1 : 0.5;
 	}
 
-	/**
-	 * Requests beyond the slots that keep an instance busy while an answer and the next request travel. One that waits
-	 * there is out of the queue's order, so there is none while little time is lost in travel.
-	 */
-	#allowance(): number {
-		return this.#transitMs > this.#serviceMs * idleShare ? 1 : 0;
-	}
-
 	#enqueue(work: Tracked): void {
 		this.#work.set(work.id, work);
 		this.#queueOf(work.className).add(work);
@@ -422,7 +398,7 @@
 			}
 
 			const work = this.#queueOf(name).take()!;
-			if (nowMs + this.#serviceBound > work.deadlineMs) {
+			if (nowMs + this.#times.boundMs > work.deadlineMs) {
 				effects.push(this.#dropQueued(work, nowMs));
 				continue;
 			}
@@ -438,7 +414,7 @@
 	}
 
 	#start(work: Tracked, instance: InstanceSlots, nowMs: number): DispatchEffect {
-		const limit = instance.limit(nowMs, this.#share(nowMs), this.#allowance());
+		const limit = instance.limit(nowMs, this.#share(nowMs), this.#times.allowance);
 		if (instance.inFlight >= limit) {
 			throw new Error(`instance ${instance.info.id} would hold more than its limit of ${limit}`);
 		}
@@ -460,7 +436,7 @@
 		this.#turn++;
 		for (let index = 0; index < instances.length; index++) {
 			const instance = instances[(index + this.#turn) % instances.length]!;
-			const limit = instance.limit(nowMs, this.#share(nowMs), this.#allowance());
+			const limit = instance.limit(nowMs, this.#share(nowMs), this.#times.allowance);
 			const use = limit === 0 ? 1 : instance.inFlight / limit;
 			if (use < bestUse && !avoid.has(instance.info.id)) {
 				best = instance;
@@ -483,7 +459,7 @@
 
 	/** Requests a second that the instances finish when all are busy. */
 	#capacity(nowMs: number): number {
-		return (Math.max(1, this.usableSlots(nowMs)) * 1000) / Math.max(0.5, this.#serviceMs);
+		return (Math.max(1, this.usableSlots(nowMs)) * 1000) / Math.max(0.5, this.#times.meanMs);
 	}
 
 	/** Starts a second that a class can count on: its floor, or what the more urgent classes leave. */
--- a/src/decisions/membership.ts
+++ b/src/decisions/membership.ts
@@ -3,11 +3,11 @@
 import {type MemberUpdate} from '../contracts/member-update.js';
 import {type RegionSummary} from '../contracts/region-summary.js';
 import {memberKey} from './member-key.js';
-import {RegionTable} from './region-table.js';
-import {rendezvousOrder} from './rendezvous-order.js';
+import {MemberTable} from './member-table.js';
+import {ProbeTargets} from './probe-targets.js';
+import {RegionExchange} from './region-exchange.js';
 import {type SeededRandom} from './seeded-random.js';
 import {UpdateQueue} from './update-queue.js';
-import {hashText} from './hash-text.js';
 
 type MembershipOptions = {
 	readonly periodMs: number;
@@ -27,18 +27,6 @@
 	/** A peer has a newer configuration. */
 	| {readonly kind: 'revision'; readonly revision: number; readonly address: string};
 
-type Entry = MemberUpdate & {readonly sinceMs: number};
-
-/** Lists made from the entries when they are asked for, and kept until an entry changes. */
-type View = {
-	/** Members thought alive, without this process. */
-	others?: readonly Member[];
-	alive?: readonly Member[];
-	staying?: readonly Member[];
-	/** The staying members in the region's order of delegates. */
-	order?: readonly Member[];
-};
-
 type Probe = {
 	readonly key: string;
 	readonly seq: number;
@@ -51,18 +39,12 @@
 const summariesPerMessage = 1;
 const indirectProbes = 3;
 const newsFanOut = 3;
-/** Hosts of a region that other regions are told of. */
-const summaryHosts = 8;
-/** Other regions that a delegate speaks with in one period. */
-const regionsPerPeriod = 2;
 /** Hosts of a region that speak with other regions. */
 const delegates = 2;
 /** Time for which a dead member is remembered, in milliseconds. */
 const tombstoneMs = 60_000;
 /** Shortest time between two synchronisations, in milliseconds. */
 const syncIntervalMs = 5000;
-const hashRange = 2 ** 32;
-const statusRank = {alive: 0, suspect: 1, dead: 2} as const;
 
 /**
  * Membership of one region by SWIM-style probing with suspicion and incarnations, and of the other
@@ -74,30 +56,19 @@
 	readonly #self: Member;
 	readonly #selfKey: string;
 	readonly #random: SeededRandom;
-	readonly #entries = new Map<string, Entry>();
+	readonly #table: MemberTable;
+	readonly #targets: ProbeTargets;
 	readonly #queue = new UpdateQueue<MemberUpdate>();
-	readonly #regions: RegionTable;
+	readonly #regions: RegionExchange;
 	readonly #relayed = new Map<number, {readonly address: string; readonly seq: number; readonly expiresMs: number}>();
-	readonly #doubted = new Set<string>();
-	/** Keys of the suspect and the dead. */
-	readonly #unwell = new Set<string>();
 	#hints: readonly string[] = [];
-	#foreignHints = new Map<string, readonly string[]>();
-	#rounds: string[] = [];
 	#probe: Probe | undefined;
-	/** Every other probe goes to a suspect, if there is one. */
-	#isSuspectTurn = false;
 	#nextProbeMs = 0;
 	#lastTickMs: number | undefined;
 	#lastSyncMs = Number.NEGATIVE_INFINITY;
 	#seq = 0;
-	#regionTurn = 0;
-	#incarnation = 0;
-	#isLeaving = false;
 	#rejoinSinceMs: number | undefined;
 	#revision = 0;
-	#viewHash = 0;
-	#view: View = {};
 
 	constructor(options: MembershipOptions, self: Member, random: SeededRandom) {
 		this.#options = options;
@@ -105,13 +76,16 @@
 		this.#selfKey = memberKey(self);
 		this.#random = random;
 		this.#seq = random.below(1_000_000_000);
-		this.#regions = new RegionTable(self.region);
-		this.#viewHash = this.#hashOf(this.#selfUpdate());
+		this.#table = new MemberTable({
+			member: self, incarnation: 0, status: 'alive', isLeaving: false,
+		});
+		this.#targets = new ProbeTargets(this.#table, random);
+		this.#regions = new RegionExchange(self.region, random, () => this.#table.order());
 	}
 
 	/** Incarnation of this process. */
 	get incarnation(): number {
-		return this.#incarnation;
+		return this.#table.self.incarnation;
 	}
 
 	get self(): Member {
@@ -119,34 +93,32 @@
 	}
 
 	get isLeaving(): boolean {
-		return this.#isLeaving;
+		return this.#table.self.isLeaving;
 	}
 
 	/** Members of the region that are thought alive, this process included, in an order common to all. */
 	alive(): readonly Member[] {
-		this.#view.alive ??= [this.#self, ...this.#othersAlive()].toSorted((a, b) => (memberKey(a) < memberKey(b) ? -1 : 1));
-		return this.#view.alive;
+		return this.#table.alive();
 	}
 
 	/** Members of the region that may take on new work: alive and not leaving. */
 	staying(): readonly Member[] {
-		this.#view.staying ??= this.alive().filter(member => !this.isMemberLeaving(memberKey(member)));
-		return this.#view.staying;
+		return this.#table.staying();
 	}
 
 	/** Whether a member of the region is in a planned stop. */
 	isMemberLeaving(key: string): boolean {
-		return key === this.#selfKey ? this.#isLeaving : this.#entries.get(key)?.isLeaving ?? false;
+		return this.#table.isLeaving(key);
 	}
 
 	/** Status of a member of the region; `undefined` for one never heard of or long dead. */
 	statusOf(key: string): MemberUpdate['status'] | undefined {
-		return key === this.#selfKey ? 'alive' : this.#entries.get(key)?.status;
+		return key === this.#selfKey ? 'alive' : this.#table.get(key)?.status;
 	}
 
 	/** Everything known of the region's members. */
 	updates(): MemberUpdate[] {
-		return [this.#selfUpdate(), ...[...this.#entries.values()].map(entry => toUpdate(entry))];
+		return this.#table.updates();
 	}
 
 	/** Hosts known of another region. */
@@ -171,7 +143,7 @@
 
 	/** Place of this process in the region's order of delegates, from 0. */
 	delegateRank(): number {
-		const order = this.#order();
+		const order = this.#table.order();
 		const rank = order.findIndex(member => memberKey(member) === this.#selfKey);
 		return rank === -1 ? order.length : rank;
 	}
@@ -187,36 +159,34 @@
 	/** Says which revision is in force here; it rides on every datagram. */
 	setRevision(revision: number): MembershipEffect[] {
 		this.#revision = revision;
-		const peers = this.#random.sample(this.#othersAlive(), newsFanOut);
+		const peers = this.#random.sample(this.#table.others(), newsFanOut);
 		const news = peers.map(member => this.#send(member.peers, {kind: 'news', ...this.#common(0)}));
-		return this.isDelegate() ? [...news, ...this.#reachableRegions().flatMap(region => this.#askRegion(region))] : news;
+		return this.isDelegate() ? [...news, ...this.#toRegions(this.#regions.allMessages())] : news;
 	}
 
 	/** Addresses from the platform's list at which daemons may be found. */
 	setHints(own: readonly string[], foreign: ReadonlyMap<string, readonly string[]>): void {
 		this.#hints = own.filter(address => address !== this.#self.peers);
-		this.#foreignHints = new Map(foreign);
+		this.#regions.setHints(foreign);
 	}
 
 	/** Announces a planned stop, or takes it back. */
 	setLeaving(isLeaving: boolean): MembershipEffect[] {
-		this.#isLeaving = isLeaving;
-		this.#view = {};
-		this.#raiseIncarnation();
+		this.#setSelf(this.incarnation + 1, isLeaving);
 		return [{kind: 'changed'}, ...this.#spreadNow()];
 	}
 
 	/** Announces that this process is about to end. */
 	leave(): MembershipEffect[] {
-		const update: MemberUpdate = {...this.#selfUpdate(), incarnation: this.#incarnation + 1, status: 'dead'};
+		const update: MemberUpdate = {...this.#table.self, incarnation: this.incarnation + 1, status: 'dead'};
 		this.#queue.add(this.#selfKey, update);
 		return this.#spreadNow();
 	}
 
 	/** Takes in proof that a member did not accept a connection: it is suspected at once. */
 	reportRefused(key: string, nowMs: number): MembershipEffect[] {
-		const entry = this.#entries.get(key);
-		return entry?.status === 'alive' ? this.#suspect(toUpdate(entry), nowMs) : [];
+		const update = this.#table.updateOf(key);
+		return update?.status === 'alive' ? this.#suspect(update, nowMs) : [];
 	}
 
 	/** Takes in another daemon's whole view. */
@@ -236,7 +206,7 @@
 		effects.push(...this.#expire(nowMs), ...this.#advanceProbe(nowMs));
 		if (nowMs >= this.#nextProbeMs) {
 			this.#nextProbeMs = nowMs + this.#options.periodMs;
-			effects.push(...this.#startProbe(nowMs), ...this.#exchangeRegions());
+			effects.push(...this.#startProbe(nowMs), ...(this.isDelegate() ? this.#toRegions(this.#regions.nextMessages()) : []));
 		}
 
 		return effects;
@@ -284,8 +254,8 @@
 			}
 
 			case 'gone': {
-				const entry = this.#entries.get(message.gone);
-				return entry === undefined ? [] : this.#apply({...toUpdate(entry), status: 'dead'}, nowMs);
+				const update = this.#table.updateOf(message.gone);
+				return update === undefined ? [] : this.#apply({...update, status: 'dead'}, nowMs);
 			}
 
 			case 'news': {
@@ -293,20 +263,11 @@
 			}
 
 			case 'region': {
-				return this.#answerRegion(message, nowMs);
+				return this.#toRegions(this.#regions.answer(message, nowMs));
 			}
 		}
 	}
 
-	/** Sends the other region its due: the own summary if it knows another one, and the news of what is known here. */
-	#answerRegion(message: GossipMessage & {kind: 'region'}, nowMs: number): MembershipEffect[] {
-		this.#regions.touch(message.region, nowMs);
-		this.#regions.noteVersion(message.knownVersion, message.knownHash);
-		const isKnown = message.knownHash === this.#regions.ownMark(this.#summaryHosts()).hash;
-		const isDue = message.step === 0 || (message.step === 1 && !isKnown);
-		return isDue ? [this.#regionMessage(message.address, message.region, message.step + 1, !isKnown)] : [];
-	}
-
 	#takeAck(seq: number, nowMs: number): MembershipEffect[] {
 		const relay = this.#relayed.get(seq);
 		if (relay !== undefined) {
@@ -316,7 +277,7 @@
 
 		const probe = this.#probe;
 		if (probe?.seq === seq) {
-			this.#doubted.delete(probe.key);
+			this.#targets.settle(probe.key);
 			this.#probe = undefined;
 			if (this.#rejoinSinceMs !== undefined && probe.startMs >= this.#rejoinSinceMs && nowMs >= probe.startMs) {
 				this.#rejoinSinceMs = undefined;
@@ -328,10 +289,10 @@
 	}
 
 	#compareViews(message: GossipMessage, nowMs: number): MembershipEffect[] {
-		const isKnown = this.#entries.has(message.from);
+		const isKnown = this.#table.get(message.from) !== undefined;
 		const isDue = nowMs - this.#lastSyncMs >= (isKnown ? syncIntervalMs : this.#options.periodMs);
 		const isQuiet = this.#queue.size === 0;
-		if (message.viewHash === this.#viewHash || !isDue || (isKnown && !isQuiet)) {
+		if (message.viewHash === this.#table.hash || !isDue || (isKnown && !isQuiet)) {
 			return [];
 		}
 
@@ -341,7 +302,7 @@
 
 	/** Probes one member; when none is known yet, an address from the hints. */
 	#startProbe(nowMs: number): MembershipEffect[] {
-		const key = this.#nextTarget();
+		const key = this.#targets.next();
 		const seq = this.#nextSeq();
 		if (key === undefined) {
 			const hint = this.#random.sample(this.#hints, 1)[0];
@@ -364,44 +325,13 @@
 			return [];
 		}
 
-		const known = new Set([...this.#entries.values()].filter(entry => entry.status !== 'dead').map(entry => entry.member.peers));
+		const known = new Set(this.#table.updates().filter(update => update.status !== 'dead').map(update => update.member.peers));
 		const strangers = this.#hints.filter(address => !known.has(address));
 		return this.#random.sample(strangers, 1).map(address => this.#send(address, {
 			kind: 'ping', seq: this.#nextSeq(), to: '', ...this.#common(),
 		}));
 	}
 
-	#nextTarget(): string | undefined {
-		for (const key of this.#doubted) {
-			if (this.#entries.get(key)?.status === 'alive') {
-				return key;
-			}
-
-			this.#doubted.delete(key);
-		}
-
-		this.#isSuspectTurn = !this.#isSuspectTurn;
-		const suspects = this.#isSuspectTurn ? [...this.#entries].filter(([, entry]) => entry.status === 'suspect') : [];
-		if (suspects.length > 0) {
-			return this.#random.sample(suspects, 1)[0]![0];
-		}
-
-		for (let attempt = 0; attempt < 2; attempt++) {
-			while (this.#rounds.length > 0) {
-				const key = this.#rounds.pop()!;
-				const status = this.#entries.get(key)?.status;
-				if (status === 'alive' || status === 'suspect') {
-					return key;
-				}
-			}
-
-			const keys = [...this.#entries.keys()];
-			this.#rounds = this.#random.sample(keys, keys.length);
-		}
-
-		return undefined;
-	}
-
 	#advanceProbe(nowMs: number): MembershipEffect[] {
 		const probe = this.#probe;
 		if (probe === undefined) {
@@ -429,18 +359,9 @@
 
 	/** One failed probe raises doubt; a second one in a row raises suspicion. */
 	#failProbe(probe: Probe, nowMs: number): MembershipEffect[] {
-		const entry = this.#entries.get(probe.key);
-		if (entry?.status !== 'alive') {
-			return [];
-		}
-
-		if (!this.#doubted.has(probe.key)) {
-			this.#doubted.add(probe.key);
-			return [];
-		}
-
-		this.#doubted.delete(probe.key);
-		return this.#suspect(toUpdate(entry), nowMs);
+		const update = this.#table.updateOf(probe.key);
+		const isSuspicious = update?.status === 'alive' && this.#targets.failed(probe.key);
+		return isSuspicious ? this.#suspect(update, nowMs) : [];
 	}
 
 	/** Suspects a member and tells it so at once, so that it can refute before the time runs out. */
@@ -452,41 +373,40 @@
 	}
 
 	#ping(probe: Probe): MembershipEffect[] {
-		const entry = this.#entries.get(probe.key);
-		if (entry === undefined) {
+		const target = this.#table.updateOf(probe.key);
+		if (target === undefined) {
 			return [];
 		}
 
 		const common = this.#common();
-		const updates = entry.status === 'suspect' ? [toUpdate(entry), ...common.updates.slice(1)] : common.updates;
-		return [this.#send(entry.member.peers, {
+		const updates = target.status === 'suspect' ? [target, ...common.updates.slice(1)] : common.updates;
+		return [this.#send(target.member.peers, {
 			kind: 'ping', seq: probe.seq, to: probe.key, ...common, updates,
 		})];
 	}
 
 	#pingIndirectly(probe: Probe): MembershipEffect[] {
-		const entry = this.#entries.get(probe.key);
-		if (entry === undefined) {
+		const target = this.#table.updateOf(probe.key);
+		if (target === undefined) {
 			return [];
 		}
 
-		const helpers = this.#random.sample(this.#othersAlive().filter(member => memberKey(member) !== probe.key), indirectProbes);
+		const helpers = this.#random.sample(this.#table.others().filter(member => memberKey(member) !== probe.key), indirectProbes);
 		return helpers.map(helper => this.#send(helper.peers, {
-			kind: 'ping-req', seq: probe.seq, target: probe.key, targetAddress: entry.member.peers, ...this.#common(),
+			kind: 'ping-req', seq: probe.seq, target: probe.key, targetAddress: target.member.peers, ...this.#common(),
 		}));
 	}
 
 	/** Turns suspicion that was not refuted into death, and forgets the long dead. */
 	#expire(nowMs: number): MembershipEffect[] {
 		const effects: MembershipEffect[] = [];
-		const suspicionMs = this.#options.suspicionPeriods * this.#options.periodMs * Math.max(1, Math.log10(this.#entries.size + 1));
-		for (const key of this.#unwell) {
-			const entry = this.#entries.get(key)!;
-			if (entry.status === 'suspect' && nowMs - entry.sinceMs >= suspicionMs) {
-				effects.push(...this.#apply({...toUpdate(entry), status: 'dead'}, nowMs));
-			} else if (entry.status === 'dead' && nowMs - entry.sinceMs >= tombstoneMs) {
-				this.#entries.delete(key);
-				this.#unwell.delete(key);
+		const suspicionMs = this.#options.suspicionPeriods * this.#options.periodMs * Math.max(1, Math.log10(this.#table.size + 1));
+		for (const key of this.#table.unwell) {
+			const {sinceMs, ...update} = this.#table.get(key)!;
+			if (update.status === 'suspect' && nowMs - sinceMs >= suspicionMs) {
+				effects.push(...this.#apply({...update, status: 'dead'}, nowMs));
+			} else if (update.status === 'dead' && nowMs - sinceMs >= tombstoneMs) {
+				this.#table.forget(key);
 			}
 		}
 
@@ -505,61 +425,46 @@
 			return this.#defend(update);
 		}
 
-		if (update.member.region !== this.#self.region) {
-			return [];
-		}
-
-		const current = this.#entries.get(key);
-		if (!isNewer(update, current) || (current === undefined && update.status === 'dead')) {
+		if (update.member.region !== this.#self.region || !this.#table.apply(update, nowMs)) {
 			return [];
 		}
 
-		this.#rehash(current, update);
-		this.#entries.set(key, {...update, sinceMs: nowMs});
-		if (update.status === 'alive') {
-			this.#unwell.delete(key);
-		} else {
-			this.#unwell.add(key);
-		}
-
-		this.#view = {};
 		this.#queue.add(key, update);
-		this.#doubted.delete(key);
+		this.#targets.settle(key);
 		this.#retireOlderLives(update, nowMs);
 		return [{kind: 'changed'}];
 	}
 
-	/** A host has one process: a new life at the same address ends the earlier one. */
+	/** A host has one process: a new life of it ends an earlier one that is suspected. */
 	#retireOlderLives(update: MemberUpdate, nowMs: number): void {
 		if (update.status !== 'alive') {
 			return;
 		}
 
-		for (const entry of this.#entries.values()) {
-			const isOtherLife = entry.member.id === update.member.id && entry.member.boot !== update.member.boot;
-			if (isOtherLife && entry.status === 'suspect') {
-				this.#apply({...toUpdate(entry), status: 'dead'}, nowMs);
+		for (const key of this.#table.unwell) {
+			const other = this.#table.updateOf(key)!;
+			const isOtherLife = other.member.id === update.member.id && other.member.boot !== update.member.boot;
+			if (isOtherLife && other.status === 'suspect') {
+				this.#apply({...other, status: 'dead'}, nowMs);
 			}
 		}
 	}
 
 	/** Refutes what others think of this process by a higher incarnation. */
 	#defend(update: MemberUpdate): MembershipEffect[] {
-		const isTrue = update.status === 'alive' && update.isLeaving === this.#isLeaving;
-		if (update.incarnation < this.#incarnation || (isTrue && update.incarnation === this.#incarnation)) {
+		const {self} = this.#table;
+		const isTrue = update.status === 'alive' && update.isLeaving === self.isLeaving;
+		if (update.incarnation < self.incarnation || (isTrue && update.incarnation === self.incarnation)) {
 			return [];
 		}
 
-		this.#incarnation = update.incarnation;
-		this.#raiseIncarnation();
+		this.#setSelf(update.incarnation + 1, self.isLeaving);
 		return this.#spreadNow();
 	}
 
-	#raiseIncarnation(): void {
-		const before = this.#selfUpdate();
-		this.#incarnation++;
-		this.#rehash(before, this.#selfUpdate());
-		this.#queue.add(this.#selfKey, this.#selfUpdate());
+	#setSelf(incarnation: number, isLeaving: boolean): void {
+		this.#table.setSelf({...this.#table.self, incarnation, isLeaving});
+		this.#queue.add(this.#selfKey, this.#table.self);
 	}
 
 	#isPaused(nowMs: number): boolean {
@@ -571,63 +476,24 @@
 		this.#rejoinSinceMs = nowMs;
 		this.#probe = undefined;
 		this.#nextProbeMs = nowMs;
-		this.#raiseIncarnation();
+		this.#setSelf(this.incarnation + 1, this.isLeaving);
 		return [{kind: 'changed'}, ...this.#spreadNow()];
 	}
 
 	/** With nobody left to ask, a paused process goes on alone after the time that suspicion takes. */
 	#endLonelyRejoin(nowMs: number): void {
 		const limitMs = this.#options.suspicionPeriods * this.#options.periodMs;
-		if (this.#rejoinSinceMs !== undefined && this.#othersAlive().length === 0 && nowMs - this.#rejoinSinceMs >= limitMs) {
+		if (this.#rejoinSinceMs !== undefined && this.#table.others().length === 0 && nowMs - this.#rejoinSinceMs >= limitMs) {
 			this.#rejoinSinceMs = undefined;
 		}
 	}
 
 	#spreadNow(): MembershipEffect[] {
-		return this.#random.sample(this.#othersAlive(), newsFanOut).map(member => this.#send(member.peers, {kind: 'news', ...this.#common()}));
+		return this.#random.sample(this.#table.others(), newsFanOut).map(member => this.#send(member.peers, {kind: 'news', ...this.#common()}));
 	}
 
-	/** Speaks with a few other regions in turn. */
-	#exchangeRegions(): MembershipEffect[] {
-		if (!this.isDelegate()) {
-			return [];
-		}
-
-		const regions = this.#reachableRegions();
-		const first = this.#regionTurn;
-		this.#regionTurn += regionsPerPeriod;
-		const count = Math.min(regionsPerPeriod, regions.length);
-		return Array.from({length: count}, (_, index) => regions[(first + index) % regions.length]!).flatMap(region => this.#askRegion(region));
-	}
-
-	#reachableRegions(): string[] {
-		const regions = new Set([...this.#regions.names(), ...this.#foreignHints.keys()]);
-		regions.delete(this.#self.region);
-		return [...regions].toSorted();
-	}
-
-	#askRegion(region: string): MembershipEffect[] {
-		const known = this.#regions.hostsOf(region).map(member => member.peers);
-		const hints = this.#foreignHints.get(region) ?? [];
-		const candidates = known.length > 0 && this.#random.below(4) > 0 ? known : [...known, ...hints];
-		const [address] = this.#random.sample(candidates, 1);
-		return address === undefined ? [] : [this.#regionMessage(address, region, 0, false)];
-	}
-
-	#regionMessage(address: string, region: string, step: number, isTold: boolean): MembershipEffect {
-		const own = this.#regions.ownMark(this.#summaryHosts());
-		const known = this.#regions.knownOf(region);
-		return this.#send(address, {
-			kind: 'region',
-			step,
-			region: this.#self.region,
-			ownVersion: own.version,
-			ownHash: own.hash,
-			knownVersion: known.version,
-			knownHash: known.hash,
-			...this.#common(0),
-			summaries: isTold ? [this.#regions.own(this.#summaryHosts())] : [],
-		});
+	#toRegions(messages: ReturnType<RegionExchange['allMessages']>): MembershipEffect[] {
+		return messages.map(({address, fields}) => this.#send(address, {...this.#common(0), ...fields}));
 	}
 
 	#takeSummary(summary: RegionSummary, nowMs: number): MembershipEffect[] {
@@ -638,28 +504,8 @@
 		return [{kind: 'changed'}];
 	}
 
-	#summaryHosts(): readonly Member[] {
-		return this.#order().slice(0, summaryHosts);
-	}
-
-	#othersAlive(): readonly Member[] {
-		this.#view.others ??= [...this.#entries.values()].filter(entry => entry.status === 'alive').map(entry => entry.member);
-		return this.#view.others;
-	}
-
-	#order(): readonly Member[] {
-		this.#view.order ??= rendezvousOrder('delegate', this.staying(), memberKey);
-		return this.#view.order;
-	}
-
-	#selfUpdate(): MemberUpdate {
-		return {
-			member: this.#self, incarnation: this.#incarnation, status: 'alive', isLeaving: this.#isLeaving,
-		};
-	}
-
 	#transmitLimit(): number {
-		return 3 * Math.ceil(Math.log10(this.#entries.size + 2) + 1);
+		return 3 * Math.ceil(Math.log10(this.#table.size + 2) + 1);
 	}
 
 	#common(updates = updatesPerMessage): Omit<GossipMessage & {kind: 'news'}, 'kind'> {
@@ -667,23 +513,12 @@
 			from: this.#selfKey,
 			address: this.#self.peers,
 			revision: this.#revision,
-			viewHash: this.#viewHash,
+			viewHash: this.#table.hash,
 			updates: updates === 0 ? [] : this.#queue.take(updates, this.#transmitLimit()),
 			summaries: updates === 0 ? [] : this.#regions.takeNews(summariesPerMessage),
 		};
 	}
 
-	/** Keeps the view's hash, a sum over its entries, after one of them changed. */
-	#rehash(before: MemberUpdate | undefined, after: MemberUpdate): void {
-		const removed = before === undefined ? 0 : this.#hashOf(before);
-		this.#viewHash = (this.#viewHash + hashRange + this.#hashOf(after) - removed) % hashRange;
-	}
-
-	/** The dead count for nothing: hosts forget them at different times. */
-	#hashOf(update: MemberUpdate): number {
-		return update.status === 'dead' ? 0 : hashText(`${memberKey(update.member)}|${update.incarnation}|${update.status}|${update.isLeaving}`);
-	}
-
 	#nextSeq(): number {
 		this.#seq++;
 		return this.#seq;
@@ -693,17 +528,3 @@
 		return {kind: 'send', address, message};
 	}
 }
-
-function toUpdate(entry: Entry): MemberUpdate {
-	return {
-		member: entry.member, incarnation: entry.incarnation, status: entry.status, isLeaving: entry.isLeaving,
-	};
-}
-
-function isNewer(update: MemberUpdate, current: Entry | undefined): boolean {
-	if (current === undefined || update.incarnation > current.incarnation) {
-		return true;
-	}
-
-	return update.incarnation === current.incarnation && statusRank[update.status] > statusRank[current.status];
-}
--- a/src/services/dispatch-service.ts
+++ b/src/services/dispatch-service.ts
@@ -7,6 +7,7 @@
 import {type Upstream} from '../contracts/upstream.js';
 import {type Grant} from '../contracts/grant.js';
 import {Dispatcher} from '../decisions/dispatcher.js';
+import {honestOutcome} from '../decisions/honest-outcome.js';
 import {GrantBook} from '../decisions/grant-book.js';
 import {GrantIssuer} from '../decisions/grant-issuer.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
@@ -43,6 +44,8 @@
 	readonly job: Job;
 	readonly controller: AbortController;
 	readonly resolve: (outcome: Outcome) => void;
+	/** Whether a try ended without proof that the request did not run. */
+	mayHaveRun: boolean;
 };
 
 /** A service that this host owns, or owned until its last request ends. */
@@ -60,7 +63,8 @@
 /** Time that a refused request waits for credits from another region before it is tried again, in milliseconds. */
 const parkMs = 40;
 const maxParked = 500;
-const overflowReasons = new Set<string>(['deadline_unreachable', 'deadline_expired', 'queue_full', 'no_upstream']);
+/** Refusals after which another region, or this one a little later, may still answer in time. */
+const overflowReasons = new Set<string>(['deadline_unreachable', 'deadline_expired', 'queue_full', 'no_upstream', 'peer_unreachable', 'paused']);
 const healthIntervalMs = 1000;
 /** Time during which a new owner uses half of the slots, in milliseconds. */
 const takeoverMs = 1000;
@@ -204,7 +208,7 @@
 		const id = `${work.requestId}/${this.#arrivals}`;
 		return new Promise<Outcome>(resolve => {
 			const pending: Pending = {
-				id, job, controller: new AbortController(), resolve,
+				id, job, controller: new AbortController(), resolve, mayHaveRun: false,
 			};
 			owned.pending.set(id, pending);
 			job.signal.addEventListener('abort', () => {
@@ -292,7 +296,7 @@
 	#settle(owned: Owned, workId: string, outcome: Outcome): void {
 		const pending = owned.pending.get(workId);
 		owned.pending.delete(workId);
-		pending?.resolve(outcome);
+		pending?.resolve(honestOutcome(outcome, pending.mayHaveRun));
 	}
 
 	#cancel(owned: Owned, pending: Pending): void {
@@ -353,7 +357,9 @@
 		const isBlocked = quarantine.isBlocked(work.fingerprint);
 		const isRetryWanted = end.isRetriable && !isBlocked && !pending.controller.signal.aborted;
 		const {effects, isRetrying} = owned.dispatcher.finished(pending.id, end.result, isRetryWanted, clock.nowMs());
-		if (!isRetrying) {
+		if (isRetrying) {
+			pending.mayHaveRun ||= result.outcome.kind === 'unknown';
+		} else {
 			this.#settle(owned, pending.id, result.outcome);
 		}
 
--- a/src/services/members-service.ts
+++ b/src/services/members-service.ts
@@ -99,7 +99,8 @@
 		let owner = this.#owners.get(service);
 		if (owner === undefined) {
 			const staying = this.membership.staying();
-			owner = rendezvousOrder(service, staying, memberKey)[0] ?? this.membership.self;
+			const candidates = staying.length > 0 ? staying : this.membership.alive();
+			owner = rendezvousOrder(service, candidates, memberKey)[0] ?? this.membership.self;
 			this.#owners.set(service, owner);
 		}
 
--- a/src/services/route-service.ts
+++ b/src/services/route-service.ts
@@ -2,6 +2,7 @@
 import {type Clock} from '../contracts/clock.js';
 import {type Member} from '../contracts/member.js';
 import {type Outcome} from '../contracts/outcome.js';
+import {honestOutcome} from '../decisions/honest-outcome.js';
 import {memberKey} from '../decisions/member-key.js';
 import {RefusalMemory} from '../decisions/refusal-memory.js';
 import {RetryBudget} from '../decisions/retry-budget.js';
@@ -67,23 +68,26 @@
 		let outcome: Outcome = {
 			kind: 'not-run', reason: 'peer_unreachable', detail: 'the owner of the service cannot be reached', retryAfterMs: longestPauseMs,
 		};
+		let mayHaveRun = false;
 		for (let tries = 0; tries < maxTries; tries++) {
 			if (tries > 0) {
 				await delay(Math.min(longestPauseMs, firstPauseMs * (2 ** tries)));
 			}
 
 			if (job.signal.aborted || clock.nowMs() >= job.deadlineMs) {
-				return outcome;
+				break;
 			}
 
 			const owner = members.ownerOf(job.work.service);
 			outcome = members.isSelf(owner) ? await dispatch.submit(job) : await this.#forward(job, owner);
 			if (!this.#isWorthAnotherTry(job, outcome)) {
-				return outcome;
+				break;
 			}
+
+			mayHaveRun ||= outcome.kind === 'unknown';
 		}
 
-		return outcome;
+		return honestOutcome(outcome, mayHaveRun);
 	}
 
 	async #forward(job: Job, owner: Member): Promise<Outcome> {
--- a/src/services/stop-service.ts
+++ b/src/services/stop-service.ts
@@ -1,5 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
+import {type Configuration} from '../config/configuration.js';
 import {type Clock} from '../contracts/clock.js';
+import {type ConfigService} from './config-service.js';
 import {type DispatchService} from './dispatch-service.js';
 import {type GatewayService} from './gateway-service.js';
 import {type HomeService} from './home-service.js';
@@ -10,6 +12,7 @@
 	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly members: MembersService;
+	readonly config: ConfigService;
 	readonly gateway: GatewayService;
 	readonly dispatch: DispatchService;
 	readonly home: HomeService;
@@ -35,6 +38,9 @@
 
 	constructor(options: StopOptions) {
 		this.#options = options;
+		options.config.onChange(cfg => {
+			this.#followDrain(cfg);
+		});
 	}
 
 	get isStopping(): boolean {
@@ -56,6 +62,18 @@
 		return cut;
 	}
 
+	/** A host that operators drained, or whose zone or region they did, leaves as for a stop, and comes back when they undo it. */
+	#followDrain(cfg: Configuration): void {
+		const {members, logger} = this.#options;
+		const {membership} = members;
+		const {id, zone, region} = membership.self;
+		const isDrained = cfg.isDrained('host', id) || cfg.isDrained('zone', zone) || cfg.isDrained('region', region);
+		if (!this.#isStopping && isDrained !== membership.isLeaving) {
+			logger.info(isDrained ? 'drained by operators' : 'brought back by operators');
+			members.run(membership.setLeaving(isDrained));
+		}
+	}
+
 	/** Waits until nothing was left for a while, from the earliest moment on, but not beyond the latest. */
 	async #waitUntil(earliestMs: number, latestMs: number): Promise<void> {
 		const {clock} = this.#options;
--- a/test/failures.test.ts
+++ b/test/failures.test.ts
@@ -5,6 +5,7 @@
 } from 'vitest';
 import {type Caller} from '../src/caller.js';
 import {type Outcome} from '../src/contracts/outcome.js';
+import {type Upstream} from '../src/contracts/upstream.js';
 import {SmallSystem} from './small-system.js';
 
 async function send(caller: Caller, className: 'bid' | 'read' | 'archive', body = 'x', deadlineMs = 4000): Promise<Outcome> {
@@ -145,6 +146,42 @@
 			expect(outcomes.map(outcome => outcome.kind)).toEqual(Array.from({length: 40}, () => 'whole'));
 		});
 
+		it('never says "not run" of a request whose earlier try may have run', async () => {
+			const [host, other] = system.hosts;
+			await system.crash(other!);
+			await system.crash(host!);
+			let calls = 0;
+			const upstream: Upstream = {
+				async call() {
+					calls++;
+					const outcome: Outcome = calls === 1
+						? {kind: 'unknown', reason: 'answer_overdue', detail: ''}
+						: {
+							kind: 'not-run', reason: 'no_upstream', detail: '', retryAfterMs: 0,
+						};
+					return {outcome, isCrashSign: false, isLeaving: false};
+				},
+				async health() {
+					return {state: 'live', inFlight: 0, slots: 3};
+				},
+			};
+			await system.boot(host!, kernel => {
+				kernel.add({name: 'upstream', requires: [], start: () => upstream});
+			});
+			await system.until('it serves', () => host!.kernel.get('config').current !== undefined);
+			const outcome = await host!.kernel.get('dispatch').submit({
+				work: {
+					requestId: 'r', service: 'bids', className: 'read', method: 'POST', path: '/x', remainingMs: 3000, headers: {}, region: 'dsm', caller: 'c', fingerprint: 'f',
+				},
+				body: Buffer.from('x'),
+				deadlineMs: performance.now() + 3000,
+				isRepeatable: true,
+				signal: new AbortController().signal,
+			});
+			expect(calls).toBeGreaterThan(1);
+			expect(outcome.kind).toBe('unknown');
+		});
+
 		it('lets one request crash two instances at the most, however often it is sent again', async () => {
 			const caller = system.caller();
 			for (let index = 0; index < 6; index++) {
@@ -273,6 +310,34 @@
 			await system.until('it serves after all', () => alone!.kernel.get('config').current?.revision === 1);
 		});
 
+		it('drains a host and a zone, serving on, and brings them back', async () => {
+			const drain = async (drained: string[]) => {
+				const publisher = system.publisher();
+				const head = await publisher.head();
+				const published = head.success ? await publisher.setDrained(drained, head.data) : head;
+				expect(published.success).toBe(true);
+			};
+
+			const [first, second, third] = system.hosts;
+			const ownerIds = () => new Set([first, second, third].map(host => host!.kernel.get('members').ownerOf('bids').id));
+			const owner = [...ownerIds()][0]!;
+			const caller = system.caller([first!, second!, third!]);
+			await drain([`host:${owner}`]);
+			await system.until('another host owns the slots', () => ownerIds().size === 1 && !ownerIds().has(owner));
+			const drained = system.hosts.find(host => host.id === owner)!;
+			const listed = first!.kernel.get('lookup').lookup('bids', '')!.hosts.map(host => host.address);
+			expect(listed).not.toContain(drained.settings.listen.callers);
+			expect(drained.kernel.get('status').isReady()).toBe(false);
+			await expect(send(caller, 'read')).resolves.toMatchObject({kind: 'whole'});
+			await drain(['zone:dsm-a', 'zone:dsm-b']);
+			await system.until('the whole region leaves', () => first!.kernel.get('members').membership.staying().length === 0);
+			await expect(send(caller, 'read', 'x', 1000)).resolves.not.toMatchObject({kind: 'unknown'});
+			await drain([]);
+			await system.until('all are back', () => first!.kernel.get('members').membership.staying().length === 3);
+			caller.forget();
+			await expect(send(caller, 'bid')).resolves.toMatchObject({kind: 'whole'});
+		});
+
 		it('never goes back when the store answers with an old value', async () => {
 			const publisher = system.publisher();
 			const head = await publisher.head();
--- a/test/small-system.ts
+++ b/test/small-system.ts
@@ -72,9 +72,10 @@
 		})));
 	}
 
-	/** Starts a host's daemon, or a new life of it. */
-	async boot(host: Host): Promise<void> {
+	/** Starts a host's daemon, or a new life of it; `customise` may replace its services. */
+	async boot(host: Host, customise: (kernel: Kernel) => void = () => undefined): Promise<void> {
 		host.kernel = createDaemon({settings: host.settings, logLevel: 'error'});
+		customise(host.kernel);
 		const started = await host.kernel.start();
 		if (!started.success) {
 			throw new Error(started.error.message);
