--- /dev/null
+++ b/src/services/peer-client.test.ts
@@ -0,0 +1,80 @@
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {loopback} from '../../test/loopback.js';
+import {RawServer} from '../../test/raw-server.js';
+import {monotonicClock} from '../adapters/monotonic-clock.js';
+import {PeerClient} from './peer-client.js';
+
+const port = 7000;
+const work = {
+	requestId: 'r1', service: 's', className: 'c', method: 'POST', path: '/', remainingMs: 200, headers: {}, region: 'dsm', caller: '', fingerprint: '',
+};
+
+function frame(value: unknown): string {
+	return `cowslipspar-frame: ${encodeURIComponent(JSON.stringify(value))}\r\n`;
+}
+
+function answer(headers: string, body = ''): string {
+	return `HTTP/1.1 200 OK\r\n${headers}content-length: ${body.length}\r\n\r\n${body}`;
+}
+
+const id = 'x-request-id: r1\r\n';
+const wholeFrame = frame({
+	kind: 'whole', status: 200, headers: {}, isReplay: false,
+});
+const refusedFrame = frame({
+	kind: 'not-run', reason: 'not_owner', detail: '', retryAfterMs: 0,
+});
+
+describe('peer contract', () => {
+	const client = new PeerClient(monotonicClock, 1000);
+	let server: RawServer | undefined;
+
+	afterEach(async () => {
+		client.close();
+		await server?.close();
+		server = undefined;
+	});
+
+	async function forwardTo(reply: string | undefined, isClosing = false) {
+		const host = loopback();
+		server = new RawServer(() => reply, isClosing);
+		await server.listen(host, port);
+		return client.forward({address: `${host}:${port}`, role: 'owner'}, work, new Uint8Array([1]), new AbortController().signal);
+	}
+
+	it.each([
+		{name: 'a whole answer', reply: answer(id + wholeFrame, 'body'), result: {kind: 'outcome', outcome: {kind: 'whole'}}},
+		{name: 'a refusal', reply: answer(id + refusedFrame), result: {kind: 'outcome', outcome: {kind: 'not-run', reason: 'not_owner'}}},
+	])('reads $name', async ({reply, result}) => {
+		expect(await forwardTo(reply)).toMatchObject(result);
+	});
+
+	it.each([
+		{name: 'an answer without a frame', reply: answer(id)},
+		{name: 'a frame of another shape', reply: answer(id + frame({kind: 'perhaps'}))},
+		{name: 'a frame that is no JSON', reply: answer(`${id}cowslipspar-frame: {\r\n`)},
+		{name: 'another request\'s refusal', reply: answer(`x-request-id: r2\r\n${refusedFrame}`)},
+		{name: 'a refusal without a request id', reply: answer(refusedFrame)},
+		{name: 'a truncated answer', reply: `HTTP/1.1 200 OK\r\n${id}${wholeFrame}content-length: 50\r\n\r\nhalf`, isClosing: true},
+		{name: 'an overlong answer', reply: answer(id + wholeFrame, 'x'.repeat(2000))},
+		{name: 'silence', reply: undefined},
+		{name: 'no HTTP', reply: 'hello\r\n\r\n'},
+	])('never takes $name for an outcome', async ({reply, isClosing}) => {
+		expect(await forwardTo(reply, isClosing ?? false)).toMatchObject({kind: 'lost'});
+		expect(client.connections).toBe(0);
+	});
+
+	it('tells that nothing was sent when the peer is not there', async () => {
+		const result = await client.forward({address: `${loopback()}:${port}`, role: 'owner'}, work, new Uint8Array(), new AbortController().signal);
+		expect(result).toMatchObject({kind: 'not_sent'});
+	});
+
+	it('fails a control call that is answered with nonsense', async () => {
+		const host = loopback();
+		server = new RawServer(() => answer('', '{"no":"answer"}'));
+		await server.listen(host, port);
+		await expect(client.control(`${host}:${port}`).hostStatus.query()).rejects.toThrow();
+	});
+});
--- a/src/services/peer-client.ts
+++ b/src/services/peer-client.ts
@@ -83,7 +83,13 @@
 		});
 		switch (result.kind) {
 			case 'answered': {
-				return decodeAnswer(result);
+				const decoded = decodeAnswer(result);
+				if (decoded.kind === 'lost') {
+					// Whatever speaks there is no daemon of ours; nothing else goes over these connections.
+					this.#pools.get(target.address).condemn(this.#clock.nowMs());
+				}
+
+				return decoded;
 			}
 
 			case 'not_sent': {
--- a/test/command-line.test.ts
+++ b/test/command-line.test.ts
@@ -1,7 +1,9 @@
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {
+	afterAll, beforeAll, describe, expect, it,
+} from 'vitest';
 import {commandAsk} from '../src/cli/command-ask.js';
 import {commandCheck} from '../src/cli/command-check.js';
 import {commandDrain} from '../src/cli/command-drain.js';
