--- a/src/services/dispatch-service.ts
+++ b/src/services/dispatch-service.ts
@@ -158,16 +158,6 @@
 		}, nowMs);
 	}
 
-	/** Takes in word that an instance is leaving or gone, from whatever source. */
-	observe(instanceAddress: string, state: 'leaving' | 'unreachable'): void {
-		for (const owned of this.#owned.values()) {
-			const id = this.#instanceIds(owned).get(instanceAddress);
-			if (id !== undefined) {
-				this.#run(owned, owned.dispatcher.observe(id, state, this.#options.clock.nowMs()));
-			}
-		}
-	}
-
 	/** The service's slots, if this host may dispatch a request on them now; else why it may not. */
 	#claim(job: Job): Result<Owned, Outcome> {
 		const {members, quarantine, config} = this.#options;
@@ -219,11 +209,14 @@
 
 	/** Whether a refused request may still be answered in time, here or elsewhere. */
 	#isWorthParking(job: Job, owned: Owned, outcome: Outcome): boolean {
+		if (outcome.kind !== 'not-run' || !overflowReasons.has(outcome.reason)) {
+			return false;
+		}
+
 		const {clock, shift} = this.#options;
-		const isRefused = outcome.kind === 'not-run' && overflowReasons.has(outcome.reason);
 		const isInTime = clock.nowMs() + parkMs + owned.dispatcher.serviceMs < job.deadlineMs;
 		const hasElsewhere = shift.regionsFor(job.work.service).length > 0;
-		return isRefused && isInTime && hasElsewhere && !job.signal.aborted && this.#parked < maxParked;
+		return isInTime && hasElsewhere && !job.signal.aborted && this.#parked < maxParked;
 	}
 
 	async #runHere(owned: Owned, job: Job): Promise<Outcome> {
--- a/src/services/metrics.ts
+++ b/src/services/metrics.ts
@@ -24,16 +24,6 @@
 		series.set(key, (series.get(key) ?? 0) + amount);
 	}
 
-	/** Value of a counter over all its labels. */
-	total(name: string): number {
-		let sum = 0;
-		for (const value of this.#counters.get(name)?.values() ?? []) {
-			sum += value;
-		}
-
-		return sum;
-	}
-
 	/** Reads a value whenever the metrics are rendered. */
 	gauge(name: string, read: () => number): void {
 		this.#gauges.set(name, read);
--- a/tools/measure-config.ts
+++ b/tools/measure-config.ts
@@ -4,7 +4,7 @@
 import {Publisher} from '../src/publisher.js';
 import {Fleet} from './fleet.js';
 import {percentiles} from './percentiles.js';
-import {publish} from './publish.js';
+import {startFleet} from './start-fleet.js';
 import {readMetric} from './read-metric.js';
 
 const publications = 30;
@@ -27,10 +27,7 @@
 		deployment: 'mvule', hostsPerZone, meanMs: 5, seed: 1,
 	});
 	try {
-		await fleet.startStandIns();
-		await fleet.startDaemons();
-		await publish(fleet);
-		await fleet.untilReady();
+		await startFleet(fleet);
 		await delay(3000);
 		const store = new ConsulStore({
 			address: fleet.storeAddress, prefix: 'cowslipspar/', timeoutMs: 3000, clock: monotonicClock, onCall() {/* Not counted here. */},
--- a/tools/measure-flood.ts
+++ b/tools/measure-flood.ts
@@ -3,7 +3,7 @@
 import {Fleet} from './fleet.js';
 import {type runLoad} from './load.js';
 import {loadPhase} from './load-phase.js';
-import {publish} from './publish.js';
+import {startFleet} from './start-fleet.js';
 import {stretch} from './stretch.js';
 
 type Stream = Parameters<typeof runLoad>[0]['streams'][number];
@@ -39,10 +39,7 @@
 	const callers = fleet.hosts.map(host => new Caller({hosts: [host.callers]}));
 	const baseline = fleet.hosts.map(host => new BaselineHost(fleet.publication, host.region));
 	try {
-		await fleet.startStandIns();
-		await fleet.startDaemons();
-		await publish(fleet, stretch(fleet.publication, factor));
-		await fleet.untilReady();
+		await startFleet(fleet, stretch(fleet.publication, factor));
 		const slots = fleet.publication.services[service]!.places.reduce((sum, place) => sum + (place.slots * place.instances.length), 0);
 		const capacity = (slots * 1000) / meanMs;
 		const quiet = {bid: 0.2, watch: 0.2, history: 0};
--- a/tools/measure-members.ts
+++ b/tools/measure-members.ts
@@ -4,7 +4,7 @@
 import {Fleet} from './fleet.js';
 import {percentiles} from './percentiles.js';
 import {processUsage} from './process-usage.js';
-import {publish} from './publish.js';
+import {startFleet} from './start-fleet.js';
 import {readMetric} from './read-metric.js';
 import {slope} from './slope.js';
 
@@ -46,10 +46,7 @@
 		deployment: 'mvule', hostsPerZone, meanMs: 5, seed: 1,
 	});
 	try {
-		await fleet.startStandIns();
-		await fleet.startDaemons();
-		await publish(fleet);
-		await fleet.untilReady();
+		await startFleet(fleet);
 		await delay(settleMs);
 		const before = await usage(fleet);
 		await delay(sampleMs);
--- a/tools/measure-path.ts
+++ b/tools/measure-path.ts
@@ -6,7 +6,7 @@
 import {Fleet} from './fleet.js';
 import {percentiles} from './percentiles.js';
 import {processUsage} from './process-usage.js';
-import {publish} from './publish.js';
+import {startFleet} from './start-fleet.js';
 
 const warmUpRequests = 3000;
 const samples = 1500;
@@ -24,10 +24,7 @@
 		deployment: 'mvule', hostsPerZone: 1, meanMs: 0, seed: 1,
 	});
 	try {
-		await fleet.startStandIns();
-		await fleet.startDaemons();
-		await publish(fleet);
-		await fleet.untilReady();
+		await startFleet(fleet);
 		const host = fleet.hosts[0]!;
 		const caller = new Caller({hosts: [host.callers]});
 		const through = sender(caller, 'catalogue', 'lots', true);
--- a/tools/measure-shift.ts
+++ b/tools/measure-shift.ts
@@ -2,7 +2,7 @@
 import {Fleet} from './fleet.js';
 import {type runLoad} from './load.js';
 import {loadPhase} from './load-phase.js';
-import {publish} from './publish.js';
+import {startFleet} from './start-fleet.js';
 import {readMetric} from './read-metric.js';
 import {stretch} from './stretch.js';
 
@@ -40,10 +40,7 @@
 	const homeCallers = callersOf(home);
 	const awayCallers = away.map(region => callersOf(region));
 	try {
-		await fleet.startStandIns();
-		await fleet.startDaemons();
-		await publish(fleet, stretch(fleet.publication, factor));
-		await fleet.untilReady();
+		await startFleet(fleet, stretch(fleet.publication, factor));
 		const {places} = fleet.publication.services[service]!;
 		const regionCapacity = places.filter(place => place.region === home).reduce((sum, place) => sum + (place.slots * place.instances.length), 0) * 1000 / meanMs;
 		const streams = [
--- a/tools/measure-stop.ts
+++ b/tools/measure-stop.ts
@@ -5,7 +5,7 @@
 import {LatencyTable} from './latency-table.js';
 import {runLoad} from './load.js';
 import {percentiles} from './percentiles.js';
-import {publish} from './publish.js';
+import {startFleet} from './start-fleet.js';
 import {streamsOf} from './streams-of.js';
 
 const stops = 6;
@@ -22,10 +22,7 @@
 	});
 	const callers = fleet.publication.deployment.regions.map(region => new Caller({hosts: fleet.hosts.filter(host => host.region === region.name).map(host => host.callers)}));
 	try {
-		await fleet.startStandIns();
-		await fleet.startDaemons();
-		await publish(fleet);
-		await fleet.untilReady();
+		await startFleet(fleet);
 		const table = new LatencyTable();
 		const drainMs: number[] = [];
 		const exitCodes: number[] = [];
--- a/tools/soak.ts
+++ b/tools/soak.ts
@@ -7,7 +7,7 @@
 import {Fleet} from './fleet.js';
 import {LatencyTable} from './latency-table.js';
 import {runLoad} from './load.js';
-import {publish} from './publish.js';
+import {startFleet} from './start-fleet.js';
 import {RevisionWatch} from './revision-watch.js';
 import {streamsOf} from './streams-of.js';
 
@@ -52,10 +52,7 @@
 });
 const callers = fleet.publication.deployment.regions.map(region => new Caller({hosts: fleet.hosts.filter(host => host.region === region.name).map(host => host.callers)}));
 try {
-	await fleet.startStandIns();
-	await fleet.startDaemons();
-	await publish(fleet);
-	await fleet.untilReady();
+	await startFleet(fleet);
 	say(`${fleet.hosts.length} hosts serve; seed ${cli.flags.seed}`);
 	const durationMs = cli.flags.minutes * msPerMinute;
 	const table = new LatencyTable();
