--- /dev/null
+++ b/src/adapters/consul-store.ts
@@ -0,0 +1,152 @@
+import {Buffer} from 'node:buffer';
+import {z} from 'zod';
+import {type Clock} from '../contracts/clock.js';
+import {type Store} from '../contracts/store.js';
+import {type Result} from '../result.js';
+import {httpExchange} from './http-exchange.js';
+import {PoolSet} from './pool-set.js';
+
+type ConsulStoreOptions = {
+	/** IPv4 number and port of the store. */
+	readonly address: string;
+	/** Put before every key. */
+	readonly prefix: string;
+	/** Time allowed for a call, a watch's waiting time apart, in milliseconds. */
+	readonly timeoutMs: number;
+	readonly clock: Clock;
+	/** Called for each call made, for the count of paid calls. */
+	readonly onCall: (kind: 'get' | 'put' | 'watch') => void;
+};
+
+type StoreRequest = Pick<Parameters<typeof httpExchange>[0], 'method' | 'path' | 'timeoutMs' | 'body' | 'signal'>;
+type StoreFailure = Awaited<ReturnType<Store['get']>> & {success: false};
+
+/** Bytes of one answer: a value of one megabyte in base64, with room for its JSON frame. */
+const maxAnswerBytes = 2_000_000;
+
+/** Entries of an answer to a read, as the Consul KV HTTP API gives them. */
+const Entries = z.array(z.object({
+
+	Value: z.string().nullable(),
+	ModifyIndex: z.int().min(1),
+
+})).length(1);
+
+/** The platform's store over the Consul KV HTTP API, v1: `GET /v1/kv/KEY`, `PUT /v1/kv/KEY?cas=INDEX`, blocking queries. */
+export class ConsulStore implements Store {
+	readonly #options: ConsulStoreOptions;
+	readonly #pools: PoolSet;
+
+	constructor(options: ConsulStoreOptions) {
+		this.#options = options;
+		this.#pools = new PoolSet({
+			clock: options.clock, idleLimitMs: 2000, connectTimeoutMs: options.timeoutMs, exchangeLimitMs: 600_000, maxConnections: 32,
+		});
+	}
+
+	async get(key: string): ReturnType<Store['get']> {
+		this.#options.onCall('get');
+		return this.#read(this.#path(key), this.#options.timeoutMs);
+	}
+
+	async watch(key: string, after: number, waitMs: number, signal: AbortSignal): ReturnType<Store['watch']> {
+		this.#options.onCall('watch');
+		return this.#read(`${this.#path(key)}?index=${after}&wait=${waitMs}ms`, waitMs + this.#options.timeoutMs, signal);
+	}
+
+	async put(key: string, value: string, expected: number): ReturnType<Store['put']> {
+		this.#options.onCall('put');
+		const answer = await this.#exchange({
+			method: 'PUT', path: `${this.#path(key)}?cas=${expected}`, timeoutMs: this.#options.timeoutMs, body: Buffer.from(value), signal: undefined,
+		});
+		if (!answer.success) {
+			return answer;
+		}
+
+		const text = Buffer.from(answer.data.body).toString().trim();
+		if (answer.data.status !== 200 || (text !== 'true' && text !== 'false')) {
+			return {success: false, error: {code: 'invalid_answer', message: `status ${answer.data.status}: ${text.slice(0, 200)}`}};
+		}
+
+		return {success: true, data: {isSwapped: text === 'true'}};
+	}
+
+	/** Closes the connections to the store. */
+	close(): void {
+		this.#pools.close();
+	}
+
+	#path(key: string): string {
+		return `/v1/kv/${this.#options.prefix}${key}`;
+	}
+
+	async #read(path: string, timeoutMs: number, signal?: AbortSignal): ReturnType<Store['get']> {
+		const answer = await this.#exchange({
+			method: 'GET', path, timeoutMs, body: undefined, signal,
+		});
+		if (!answer.success) {
+			return answer;
+		}
+
+		if (answer.data.status === 404) {
+			return {success: true, data: undefined};
+		}
+
+		const entries = Entries.safeParse(parseJson(answer.data.body));
+		if (answer.data.status !== 200 || !entries.success) {
+			return {success: false, error: {code: 'invalid_answer', message: `status ${answer.data.status}, body of an unexpected shape`}};
+		}
+
+		const entry = entries.data[0]!;
+		return {success: true, data: {value: Buffer.from(entry.Value ?? '', 'base64').toString(), version: entry.ModifyIndex}};
+	}
+
+	async #exchange(request: StoreRequest): Promise<Result<{status: number; body: Uint8Array}, StoreFailure['error']>> {
+		const result = await httpExchange({
+			pool: this.#pools.get(this.#options.address),
+			...request,
+			headers: {},
+			maxAnswerBytes,
+			startMs: this.#options.clock.nowMs(),
+		});
+		switch (result.kind) {
+			case 'answered': {
+				if (result.status === 429) {
+					return {success: false, error: {code: 'throttled', message: 'the store refused the call for its rate'}};
+				}
+
+				if (result.status >= 500) {
+					return {success: false, error: {code: 'unavailable', message: `the store answered ${result.status}`}};
+				}
+
+				return {success: true, data: result};
+			}
+
+			case 'not_sent': {
+				return {success: false, error: {code: 'unavailable', message: result.detail}};
+			}
+
+			case 'too_large': {
+				return {success: false, error: {code: 'invalid_answer', message: 'the answer is larger than a value may be'}};
+			}
+
+			case 'overdue':
+			case 'cancelled': {
+				return {success: false, error: {code: 'lost_answer', message: `no answer within ${request.timeoutMs} ms`}};
+			}
+
+			case 'crossed':
+			case 'lost': {
+				return {success: false, error: {code: 'lost_answer', message: 'the connection was lost before the answer'}};
+			}
+		}
+	}
+}
+
+function parseJson(body: Uint8Array): unknown {
+	try {
+		return JSON.parse(Buffer.from(body).toString());
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/src/adapters/http-exchange.ts
@@ -0,0 +1,124 @@
+import {type ConnectionPool} from './connection-pool.js';
+import {readBody} from './read-body.js';
+
+type Exchange = {
+	readonly pool: ConnectionPool;
+	readonly method: string;
+	readonly path: string;
+	readonly headers: Record<string, string>;
+	readonly body: Uint8Array | undefined;
+	/** Time allowed for the whole exchange, in milliseconds. */
+	readonly timeoutMs: number;
+	readonly maxAnswerBytes: number;
+	readonly signal: AbortSignal | undefined;
+	/** Moment at which the exchange starts, in monotonic milliseconds. */
+	readonly startMs: number;
+	/** Request id that the answer must name, where the far end's contract asks for it. */
+	readonly requestId?: string;
+};
+
+/**
+ * How an exchange ended. `not_sent` proves that the far end received nothing;
+ * after the other failures it may have acted on the request.
+ */
+type ExchangeResult =
+	| {readonly kind: 'answered'; readonly status: number; readonly headers: Record<string, string>; readonly body: Uint8Array}
+	| {readonly kind: 'not_sent'; readonly detail: string}
+	| {readonly kind: 'too_large'}
+	| {readonly kind: 'crossed'}
+	| {readonly kind: 'overdue'}
+	| {readonly kind: 'cancelled'}
+	| {readonly kind: 'lost'; readonly detail: string};
+
+/** Codes of errors that arise before any byte of the request is written. */
+const notSentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT', 'EMFILE']);
+
+/** Runs one HTTP exchange on a pooled connection; only a whole answer returns the connection to the pool. */
+export async function httpExchange(exchange: Exchange): Promise<ExchangeResult> {
+	if (isAborted(exchange.signal)) {
+		return {kind: 'not_sent', detail: 'cancelled before it was sent'};
+	}
+
+	const conn = exchange.pool.acquire();
+	if (conn === undefined) {
+		return {kind: 'not_sent', detail: 'the connection budget is spent'};
+	}
+
+	const controller = new AbortController();
+	let isOverdue = false;
+	const timer = setTimeout(() => {
+		isOverdue = true;
+		controller.abort();
+	}, Math.max(1, exchange.timeoutMs));
+	const cancel = () => {
+		controller.abort();
+	};
+
+	exchange.signal?.addEventListener('abort', cancel, {once: true});
+	try {
+		const res = await conn.client.request({
+			method: exchange.method,
+			path: exchange.path,
+			headers: exchange.headers,
+			body: exchange.body,
+			signal: controller.signal,
+		});
+		const body = await readBody(res.body, exchange.maxAnswerBytes);
+		if (!body.success) {
+			exchange.pool.discard(conn);
+			return {kind: 'too_large'};
+		}
+
+		const headers = flattenHeaders(res.headers);
+		if (exchange.requestId !== undefined && headers['x-request-id'] !== exchange.requestId) {
+			exchange.pool.discard(conn);
+			return {kind: 'crossed'};
+		}
+
+		if (headers.connection === 'close') {
+			exchange.pool.discard(conn);
+		} else {
+			exchange.pool.release(conn);
+		}
+
+		return {
+			kind: 'answered', status: res.statusCode, headers, body: body.data,
+		};
+	} catch (err) {
+		exchange.pool.discard(conn);
+		if (isOverdue) {
+			exchange.pool.condemn(exchange.startMs);
+			return {kind: 'overdue'};
+		}
+
+		if (isAborted(exchange.signal)) {
+			return {kind: 'cancelled'};
+		}
+
+		return describeFailure(err);
+	} finally {
+		clearTimeout(timer);
+		exchange.signal?.removeEventListener('abort', cancel);
+	}
+}
+
+function isAborted(signal: AbortSignal | undefined): boolean {
+	return signal?.aborted === true;
+}
+
+function describeFailure(err: unknown): ExchangeResult {
+	const code = err instanceof Error && 'code' in err ? String(err.code) : 'unknown';
+	const detail = err instanceof Error ? `${code}: ${err.message}` : code;
+	return notSentCodes.has(code) ? {kind: 'not_sent', detail} : {kind: 'lost', detail};
+}
+
+function flattenHeaders(headers: Record<string, string | string[] | undefined>): Record<string, string> {
+	const flat: Record<string, string> = {};
+	for (const [name, value] of Object.entries(headers)) {
+		if (value !== undefined) {
+			flat[name] = Array.isArray(value) ? value.join(', ') : value;
+		}
+	}
+
+	return flat;
+}
--- /dev/null
+++ b/src/adapters/http-upstream.ts
@@ -0,0 +1,176 @@
+import {Buffer} from 'node:buffer';
+import {createHash} from 'node:crypto';
+import {z} from 'zod';
+import {type Clock} from '../contracts/clock.js';
+import {type Outcome} from '../contracts/outcome.js';
+import {type Upstream} from '../contracts/upstream.js';
+import {httpExchange} from './http-exchange.js';
+import {PoolSet} from './pool-set.js';
+
+type HttpUpstreamOptions = {
+	readonly clock: Clock;
+	readonly maxAnswerBytes: number;
+	/** Connections to one instance. */
+	readonly maxConnections: number;
+};
+
+type UpstreamCall = Parameters<Upstream['call']>[0];
+type ExchangeResult = Awaited<ReturnType<typeof httpExchange>>;
+type Answered = ExchangeResult & {kind: 'answered'};
+
+/** Silence after which a connection is not used again, in milliseconds. */
+const idleLimitMs = 1500;
+const connectTimeoutMs = 500;
+const exchangeLimitMs = 604_800_000;
+const healthTimeoutMs = 1000;
+
+/** Headers that belong to one connection or are set by the system itself. */
+const connectionHeaders = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length', 'date', 'x-request-id', 'cowslipspar-leaving', 'cowslipspar-not-run']);
+
+const Health = z.object({
+	state: z.enum(['live', 'leaving']),
+	inFlight: z.int().min(0),
+	slots: z.int().min(0),
+});
+
+/** Upstream instances over HTTP/1.1; docs/UPSTREAMS.md states the contract. */
+export class HttpUpstream implements Upstream {
+	readonly #options: HttpUpstreamOptions;
+	readonly #pools: PoolSet;
+
+	constructor(options: HttpUpstreamOptions) {
+		this.#options = options;
+		this.#pools = new PoolSet({
+			clock: options.clock, idleLimitMs, connectTimeoutMs, exchangeLimitMs, maxConnections: options.maxConnections,
+		});
+	}
+
+	/** Connections open to all instances. */
+	get connections(): number {
+		return this.#pools.size;
+	}
+
+	async call(call: UpstreamCall): ReturnType<Upstream['call']> {
+		const result = await httpExchange({
+			pool: this.#pools.get(call.address),
+			method: call.work.method,
+			path: call.work.path,
+			headers: requestHeaders(call),
+			body: call.body.byteLength === 0 ? undefined : call.body,
+			timeoutMs: call.remainingMs,
+			maxAnswerBytes: this.#options.maxAnswerBytes,
+			signal: call.signal,
+			startMs: this.#options.clock.nowMs(),
+			requestId: call.work.requestId,
+		});
+		return {
+			outcome: toOutcome(call, result),
+			isCrashSign: result.kind === 'lost',
+			isLeaving: result.kind === 'answered' && result.headers['cowslipspar-leaving'] === '1',
+		};
+	}
+
+	async health(address: string): ReturnType<Upstream['health']> {
+		const result = await httpExchange({
+			pool: this.#pools.get(address),
+			method: 'GET',
+			path: '/health',
+			headers: {},
+			body: undefined,
+			timeoutMs: healthTimeoutMs,
+			maxAnswerBytes: 65_536,
+			signal: undefined,
+			startMs: this.#options.clock.nowMs(),
+		});
+		if (result.kind !== 'answered' || result.status !== 200) {
+			return {state: 'unreachable'};
+		}
+
+		try {
+			const health = Health.safeParse(JSON.parse(Buffer.from(result.body).toString()));
+			return health.success ? health.data : {state: 'unreachable'};
+		} catch {
+			return {state: 'unreachable'};
+		}
+	}
+
+	/** Closes idle connections. */
+	sweep(): void {
+		this.#pools.sweep();
+	}
+
+	/** Closes all connections. */
+	close(): void {
+		this.#pools.close();
+	}
+}
+
+function requestHeaders(call: UpstreamCall): Record<string, string> {
+	const headers: Record<string, string> = {
+		...call.work.headers,
+		'x-request-id': call.work.requestId,
+		'cowslipspar-deadline-ms': String(Math.floor(call.remainingMs)),
+	};
+	if (call.work.key !== undefined) {
+		headers['idempotency-key'] = call.work.key;
+	}
+
+	if (call.work.traceparent !== undefined) {
+		headers.traceparent = call.work.traceparent;
+	}
+
+	return headers;
+}
+
+function toOutcome(call: UpstreamCall, result: ExchangeResult): Outcome {
+	switch (result.kind) {
+		case 'answered': {
+			return checkAnswer(call, result);
+		}
+
+		case 'not_sent': {
+			return {
+				kind: 'not-run', reason: 'no_upstream', detail: result.detail, retryAfterMs: 0,
+			};
+		}
+
+		case 'too_large': {
+			return {kind: 'unknown', reason: 'answer_too_large', detail: 'the answer is larger than the limit'};
+		}
+
+		case 'crossed': {
+			return {kind: 'unknown', reason: 'answer_broken', detail: 'the answer names another request'};
+		}
+
+		case 'overdue': {
+			return {kind: 'unknown', reason: 'answer_overdue', detail: 'no whole answer before the deadline'};
+		}
+
+		case 'cancelled': {
+			return {kind: 'unknown', reason: 'cancelled', detail: 'the caller left'};
+		}
+
+		case 'lost': {
+			return {kind: 'unknown', reason: 'connection_lost', detail: result.detail};
+		}
+	}
+}
+
+/** Accepts an answer only if its body matches the digest that it states. */
+function checkAnswer(call: UpstreamCall, answer: Answered): Outcome {
+	if (answer.status === 503 && answer.headers['cowslipspar-not-run'] === '1' && call.shedMeansNotRun) {
+		return {
+			kind: 'not-run', reason: 'shed', detail: 'the upstream shed the request', retryAfterMs: 0,
+		};
+	}
+
+	const stated = /sha-256=:([^:]*):/.exec(answer.headers['content-digest'] ?? '')?.[1];
+	if (stated !== undefined && stated !== createHash('sha256').update(answer.body).digest('base64')) {
+		return {kind: 'unknown', reason: 'answer_broken', detail: 'the body does not match its digest'};
+	}
+
+	const headers = Object.fromEntries(Object.entries(answer.headers).filter(([name]) => !connectionHeaders.has(name)));
+	return {
+		kind: 'whole', status: answer.status, headers, body: answer.body, isReplay: false,
+	};
+}
--- /dev/null
+++ b/src/bin/cowslipspar.ts
@@ -0,0 +1,134 @@
+#!/usr/bin/env node
+import process from 'node:process';
+import {userInfo} from 'node:os';
+import meow from 'meow';
+import {ConsulStore} from '../adapters/consul-store.js';
+import {monotonicClock} from '../adapters/monotonic-clock.js';
+import {commandAsk} from '../cli/command-ask.js';
+import {commandCheck} from '../cli/command-check.js';
+import {commandDrain} from '../cli/command-drain.js';
+import {commandPublish} from '../cli/command-publish.js';
+import {commandQuarantine} from '../cli/command-quarantine.js';
+import {commandStatus} from '../cli/command-status.js';
+import {type CliContext} from '../cli/context.js';
+import {exitCode} from '../cli/exit-code.js';
+import {OperatorClient} from '../cli/operator-client.js';
+import {Output} from '../cli/output.js';
+import {SocketAddress} from '../config/socket-address.js';
+import {Publisher} from '../publisher.js';
+
+const cli = meow(`
+	Usage
+	  $ cowslipspar COMMAND [ARGUMENTS]
+
+	Commands
+	  check FILES…             Check operators' files; asks no host
+	  publish DIR              Put the files of a folder into force          (--store, --host)
+	  status                   State of every host                          (--host)
+	  lookup SERVICE           Entry hosts that callers are told            (--host)
+	  explain SERVICE          Why look-ups and requests go where they go   (--host)
+	  drain KIND NAME          Take a host, instance, zone or region out    (--store, --host)
+	  undrain KIND NAME        Bring it back                                (--store, --host)
+	  quarantine               Requests refused for breaking upstreams      (--host)
+	  quarantine lift PRINT    Let one through again                        (--host)
+
+	Options
+	  --store ADDRESS   Address of the store, such as 10.0.0.5:8500
+	  --prefix TEXT     Prefix of the system's keys; default: cowslipspar/
+	  --host ADDRESS    Operators' address of any host
+	  --author NAME     Who publishes; default: the user's name
+	  --wait MS         Time to wait until a publication is in force; default: 10000
+	  --json            One JSON line in place of text
+
+	Exit codes
+	  0 done   1 wrong call   2 files have problems   3 another publication came first
+	  4 store or host out of reach   5 published, not yet in force everywhere   6 not found
+
+	Examples
+	  $ cowslipspar check services/
+	  $ cowslipspar publish services/ --store 10.0.0.5:8500 --host 10.0.1.7:7202
+	  $ cowslipspar drain zone dsm-a --store 10.0.0.5:8500 --host 10.0.1.7:7202
+	  $ cowslipspar status --host 10.0.1.7:7202 --json
+`, {
+	importMeta: import.meta,
+	flags: {
+		store: {type: 'string'},
+		prefix: {type: 'string', default: 'cowslipspar/'},
+		host: {type: 'string'},
+		author: {type: 'string', default: userInfo().username},
+		wait: {type: 'number', default: 10_000},
+		json: {type: 'boolean', default: false},
+	},
+});
+
+const storeTimeoutMs = 3000;
+const {flags} = cli;
+const output = new Output(flags.json);
+
+async function run(ctx: CliContext, command: string): Promise<number> {
+	switch (command) {
+		case 'check': {
+			return commandCheck(ctx);
+		}
+
+		case 'publish': {
+			return commandPublish(ctx);
+		}
+
+		case 'status': {
+			return commandStatus(ctx);
+		}
+
+		case 'lookup': {
+			return commandAsk(ctx, true);
+		}
+
+		case 'explain': {
+			return commandAsk(ctx, false);
+		}
+
+		case 'drain': {
+			return commandDrain(ctx, true);
+		}
+
+		case 'undrain': {
+			return commandDrain(ctx, false);
+		}
+
+		case 'quarantine': {
+			return commandQuarantine(ctx);
+		}
+
+		default: {
+			output.fail('usage', command === '' ? 'a command is needed; see --help' : `no command is named ${command}; see --help`);
+			return exitCode.usage;
+		}
+	}
+}
+
+function openStore(address: string): ConsulStore {
+	return new ConsulStore({
+		address, prefix: flags.prefix, timeoutMs: storeTimeoutMs, clock: monotonicClock, onCall() {/* Not counted here. */},
+	});
+}
+
+function badAddress(): string | undefined {
+	return [flags.store, flags.host].find(address => address !== undefined && !SocketAddress.safeParse(address).success);
+}
+
+const bad = badAddress();
+if (bad === undefined) {
+	const store = flags.store === undefined ? undefined : openStore(flags.store);
+	const [command = '', ...args] = cli.input;
+	process.exitCode = await run({
+		args,
+		output,
+		operator: flags.host === undefined ? undefined : new OperatorClient(flags.host),
+		publisher: store === undefined ? undefined : new Publisher(store, flags.author),
+		waitMs: flags.wait,
+	}, command);
+	store?.close();
+} else {
+	output.fail('usage', `"${bad}" is not an IPv4 number and a port`);
+	process.exitCode = exitCode.usage;
+}
--- /dev/null
+++ b/src/cli/command-check.ts
@@ -0,0 +1,24 @@
+import {collectPublication} from '../config/collect-publication.js';
+import {formatIssue} from '../config/format-issue.js';
+import {type CliContext} from './context.js';
+import {exitCode} from './exit-code.js';
+import {readSourceFiles} from './read-source-files.js';
+
+/** `check FILES…`: every problem of the operators' files, with file and line; asks no host. */
+export async function commandCheck(ctx: CliContext): Promise<number> {
+	if (ctx.args.length === 0) {
+		ctx.output.fail('usage', 'check needs files or folders');
+		return exitCode.usage;
+	}
+
+	const files = readSourceFiles(ctx.args);
+	const checked = files.success ? collectPublication(files.data) : files;
+	if (!checked.success) {
+		ctx.output.write({success: false, issues: checked.error}, checked.error.map(issue => formatIssue(issue)));
+		return exitCode.invalid;
+	}
+
+	const names = Object.keys(checked.data.services);
+	ctx.output.write({success: true, services: names}, [`no problems; services: ${names.join(', ')}`]);
+	return exitCode.ok;
+}
--- /dev/null
+++ b/src/cli/report-published.ts
@@ -0,0 +1,28 @@
+import {type Publisher} from '../publisher.js';
+import {type CliContext} from './context.js';
+import {exitCode} from './exit-code.js';
+import {waitInForce} from './wait-in-force.js';
+
+type Published = Awaited<ReturnType<Publisher['publish']>>;
+
+/** Tells the end of a publication and waits until it is in force. */
+export async function reportPublished(ctx: CliContext, published: Published): Promise<number> {
+	const {output} = ctx;
+	if (!published.success) {
+		output.fail(published.error.code, published.error.message);
+		return published.error.code === 'conflict' ? exitCode.conflict : exitCode.unreachable;
+	}
+
+	const {manifest, changes} = published.data;
+	for (const change of changes) {
+		output.progress(change);
+	}
+
+	const {code, ...inForce} = await waitInForce(ctx, manifest.revision);
+	const where = inForce.hosts === 0 ? 'published; no host was asked' : `in force at ${inForce.hosts - inForce.late.length} of ${inForce.hosts} hosts after ${inForce.tookMs} ms`;
+	const late = [...inForce.late.map(id => `not yet in force: ${id}`), ...inForce.silent.map(id => `no answer: ${id}`)];
+	output.write({
+		success: code === exitCode.ok, revision: manifest.revision, publicationId: manifest.publicationId, changes, ...inForce,
+	}, [`revision ${manifest.revision}: ${where}`, ...late]);
+	return code;
+}
--- /dev/null
+++ b/src/contracts/host-status.ts
@@ -0,0 +1,40 @@
+import {z} from 'zod';
+
+const InstanceStatus = z.object({
+	id: z.string(),
+	inFlight: z.int(),
+	limit: z.int(),
+	isLeaving: z.boolean(),
+	isUp: z.boolean(),
+});
+
+const OwnedService = z.object({
+	service: z.string(),
+	queued: z.int(),
+	inFlight: z.int(),
+	/** Mean time from start to answer, in milliseconds. */
+	serviceMs: z.number(),
+	instances: z.array(InstanceStatus),
+});
+
+/** State of one host, as operators see it. */
+export const HostStatus = z.object({
+	id: z.string(),
+	boot: z.string(),
+	region: z.string(),
+	zone: z.string(),
+	callers: z.string(),
+	/** Revision of the configuration in force; 0 for none. */
+	revision: z.int(),
+	phase: z.enum(['starting', 'serving', 'stopping']),
+	/** Members of the region that this host thinks alive, itself included. */
+	aliveMembers: z.int(),
+	isConfident: z.boolean(),
+	requestsInFlight: z.int(),
+	keysUnfinished: z.int(),
+	owns: z.array(OwnedService),
+	quarantined: z.array(z.object({fingerprint: z.string(), service: z.string(), instances: z.array(z.string())})),
+});
+
+/** State of one host, as operators see it. */
+export type HostStatus = Readonly<z.infer<typeof HostStatus>>;
--- /dev/null
+++ b/src/kernel/registry.ts
@@ -0,0 +1,45 @@
+import {type Clock} from '../contracts/clock.js';
+import {type HostList} from '../contracts/host-list.js';
+import {type Store} from '../contracts/store.js';
+import {type Upstream} from '../contracts/upstream.js';
+import {type DaemonSettings} from '../config/daemon-settings.js';
+import {type ConfigService} from '../services/config-service.js';
+import {type DispatchService} from '../services/dispatch-service.js';
+import {type GatewayService} from '../services/gateway-service.js';
+import {type HomeService} from '../services/home-service.js';
+import {type Logger} from '../services/logger.js';
+import {type LookupService} from '../services/lookup-service.js';
+import {type MembersService} from '../services/members-service.js';
+import {type Metrics} from '../services/metrics.js';
+import {type PeerClient} from '../services/peer-client.js';
+import {type QuarantineService} from '../services/quarantine-service.js';
+import {type RouteService} from '../services/route-service.js';
+import {type StatusService} from '../services/status-service.js';
+import {type StopService} from '../services/stop-service.js';
+import {type Tracer} from '../services/tracer.js';
+
+/** Services of the daemon by name; this is how they find each other. */
+export type Registry = {
+	readonly settings: DaemonSettings;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly metrics: Metrics;
+	readonly tracer: Tracer;
+	readonly store: Store;
+	readonly hostList: HostList;
+	readonly upstream: Upstream;
+	readonly peerClient: PeerClient;
+	readonly members: MembersService;
+	readonly config: ConfigService;
+	readonly quarantine: QuarantineService;
+	readonly dispatch: DispatchService;
+	readonly route: RouteService;
+	readonly home: HomeService;
+	readonly lookup: LookupService;
+	readonly gateway: GatewayService;
+	readonly status: StatusService;
+	readonly stop: StopService;
+	readonly peerServer: {readonly address: string};
+	readonly callerServer: {readonly address: string};
+	readonly operatorServer: {readonly address: string};
+};
--- /dev/null
+++ b/src/services/caller-server.ts
@@ -0,0 +1,98 @@
+import {type HttpBindings} from '@hono/node-server';
+import {Hono, type Context} from 'hono';
+import {type Outcome} from '../contracts/outcome.js';
+import {departureSignal} from './departure-signal.js';
+import {type GatewayService} from './gateway-service.js';
+import {type HomeService} from './home-service.js';
+import {type LookupService} from './lookup-service.js';
+import {type Metrics} from './metrics.js';
+import {outcomeResponse} from './outcome-response.js';
+import {receiveBody} from './receive-body.js';
+
+type CallerServerOptions = {
+	readonly gateway: GatewayService;
+	readonly lookup: LookupService;
+	readonly home: HomeService;
+	readonly metrics: Metrics;
+	readonly maxRequestBytes: number;
+};
+
+type CallerContext = Context<{Bindings: HttpBindings}>;
+
+/** Content headers that upstreams receive. */
+const passedHeaders = ['accept', 'accept-language', 'content-type', 'content-encoding', 'if-none-match', 'if-match', 'if-modified-since', 'authorization'];
+const callPrefix = /^\/v1\/call\/[^/]+/;
+
+/** The callers' interface: look-ups and requests; docs/CALLERS.md states it. */
+export function callerServer(options: CallerServerOptions): Hono {
+	const app = new Hono<{Bindings: HttpBindings}>();
+	app.get('/v1/lookup/:service', ctx => {
+		options.metrics.count('lookups');
+		const answer = options.lookup.lookup(ctx.req.param('service'), ctx.env.incoming.socket.remoteAddress ?? '');
+		if (answer === undefined) {
+			return respond(refused('unknown_service', `no service is named "${ctx.req.param('service')}"`), ctx.req.path);
+		}
+
+		ctx.header('cache-control', `max-age=${Math.floor(answer.ttlMs / 1000)}`);
+		return ctx.json(answer);
+	});
+	app.all('/v1/call/:service/*', async ctx => {
+		const outcome = await handleCall(ctx, options);
+		const res = respond(outcome, ctx.req.path);
+		const isTokenSpent = outcome.kind === 'not-run' && (outcome.reason === 'token_sealed' || outcome.reason === 'key_required');
+		if (isTokenSpent && options.home.token !== undefined) {
+			res.headers.set('cowslipspar-token', options.home.token);
+		}
+
+		return res;
+	});
+	app.notFound(ctx => respond(refused('bad_request', 'the paths are /v1/lookup/SERVICE and /v1/call/SERVICE/PATH'), ctx.req.path));
+	return app as unknown as Hono;
+}
+
+async function handleCall(ctx: CallerContext, options: CallerServerOptions): Promise<Outcome> {
+	const {incoming, outgoing} = ctx.env;
+	const signal = departureSignal(outgoing);
+	const body = await receiveBody(incoming, options.maxRequestBytes);
+	if (!body.success) {
+		outgoing.setHeader('connection', 'close');
+		return body.error.code === 'too_large'
+			? refused('too_large', `the body is larger than ${options.maxRequestBytes} bytes`)
+			: refused('bad_request', 'the body did not arrive whole');
+	}
+
+	const url = incoming.url ?? '/';
+	const path = url.replace(callPrefix, '');
+	return options.gateway.handle({
+		service: ctx.req.param('service') ?? '',
+		className: header(ctx, 'cowslipspar-class'),
+		deadlineMs: header(ctx, 'cowslipspar-deadline-ms'),
+		key: header(ctx, 'idempotency-key'),
+		method: incoming.method ?? 'GET',
+		path: path === '' ? '/' : path,
+		headers: Object.fromEntries(passedHeaders.flatMap(name => {
+			const value = header(ctx, name);
+			return value === undefined ? [] : [[name, value]];
+		})),
+		body: body.data,
+		traceparent: header(ctx, 'traceparent'),
+		caller: incoming.socket.remoteAddress ?? '',
+		signal,
+	});
+}
+
+function header(ctx: CallerContext, name: string): string | undefined {
+	const value = ctx.env.incoming.headers[name];
+	return Array.isArray(value) ? value.join(', ') : value;
+}
+
+function refused(reason: (Outcome & {kind: 'not-run'})['reason'], detail: string): Outcome {
+	return {
+		kind: 'not-run', reason, detail, retryAfterMs: 0,
+	};
+}
+
+function respond(outcome: Outcome, path: string): Response {
+	const answer = outcomeResponse(outcome, path);
+	return new Response(answer.body as ConstructorParameters<typeof Response>[0], {status: answer.status, headers: answer.headers});
+}
--- /dev/null
+++ b/src/services/dispatch-service.ts
@@ -0,0 +1,335 @@
+import {match} from 'ts-pattern';
+import {type Configuration} from '../config/configuration.js';
+import {type ServiceFile} from '../config/service-file.js';
+import {type Clock} from '../contracts/clock.js';
+import {type Outcome} from '../contracts/outcome.js';
+import {type Upstream} from '../contracts/upstream.js';
+import {Dispatcher} from '../decisions/dispatcher.js';
+import {type Lifecycle} from '../kernel/lifecycle.js';
+import {type ConfigService} from './config-service.js';
+import {type Job} from './job.js';
+import {type Logger} from './logger.js';
+import {type MembersService} from './members-service.js';
+import {type Metrics} from './metrics.js';
+import {type QuarantineService} from './quarantine-service.js';
+import {type Tracer} from './tracer.js';
+
+type DispatchOptions = {
+	readonly region: string;
+	readonly maxQueued: number;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly metrics: Metrics;
+	readonly tracer: Tracer;
+	readonly members: MembersService;
+	readonly config: ConfigService;
+	readonly upstream: Upstream;
+	readonly quarantine: QuarantineService;
+};
+
+type Effects = ReturnType<Dispatcher['tick']>;
+type Instance = {readonly id: string; readonly address: string};
+type UpstreamResult = Awaited<ReturnType<Upstream['call']>>;
+
+/** A request in the dispatcher's hands, and how to tell its end. */
+type Pending = {
+	readonly job: Job;
+	readonly controller: AbortController;
+	readonly resolve: (outcome: Outcome) => void;
+};
+
+/** A service that this host owns, or owned until its last request ends. */
+type Owned = {
+	readonly dispatcher: Dispatcher;
+	readonly pending: Map<string, Pending>;
+	/** Moment at which each instance was last heard from, in monotonic milliseconds. */
+	readonly heardMs: Map<string, number>;
+};
+
+const tickMs = 20;
+const healthIntervalMs = 1000;
+/** Time during which a new owner uses half of the slots, in milliseconds. */
+const takeoverMs = 1000;
+const initialServiceMs = 20;
+/** Shortest time after which an unanswered repeatable request is taken for lost, in milliseconds. */
+const shortestOverdueMs = 500;
+
+/** Owns the slots of the services that fall to this host: queues, calls instances, watches their health. */
+export class DispatchService {
+	readonly #options: DispatchOptions;
+	readonly #owned = new Map<string, Owned>();
+
+	constructor(options: DispatchOptions) {
+		this.#options = options;
+	}
+
+	/** Requests that this host's dispatchers hold. */
+	get pending(): number {
+		let total = 0;
+		for (const owned of this.#owned.values()) {
+			total += owned.pending.size;
+		}
+
+		return total;
+	}
+
+	start(lifecycle: Lifecycle): void {
+		const {config, members} = this.#options;
+		config.onChange(cfg => {
+			this.#configureAll(cfg);
+		});
+		members.onChange(() => {
+			this.#releaseLost();
+		});
+		lifecycle.every('dispatch tick', tickMs, () => {
+			for (const owned of this.#owned.values()) {
+				this.#run(owned, owned.dispatcher.tick(this.#options.clock.nowMs()));
+			}
+		});
+		lifecycle.every('instance health', healthIntervalMs, () => {
+			this.#checkHealth();
+		});
+	}
+
+	/** Dispatchers of the services that this host owns, by service name. */
+	dispatchers(): ReadonlyMap<string, Dispatcher> {
+		return new Map([...this.#owned].map(([name, owned]) => [name, owned.dispatcher]));
+	}
+
+	/** Runs a request on an instance of the region; only the owner of the service's slots does. */
+	async submit(job: Job): Promise<Outcome> {
+		const {members, quarantine, config, clock} = this.#options;
+		const {work} = job;
+		if (!members.isConfident()) {
+			return refusal('paused', 'this host was paused and is finding out what it still owns');
+		}
+
+		if (!members.isSelf(members.ownerOf(work.service))) {
+			return refusal('not_owner', 'another host owns the slots of the service');
+		}
+
+		const service = config.current?.service(work.service);
+		if (service === undefined) {
+			return refusal('unknown_service', `no service is named ${work.service}`);
+		}
+
+		if (quarantine.isBlocked(work.fingerprint)) {
+			return refusal('quarantined', 'the request broke several upstreams; an operator can lift this');
+		}
+
+		const owned = this.#ownedOf(work.service, service);
+		return new Promise<Outcome>(resolve => {
+			const pending: Pending = {job, controller: new AbortController(), resolve};
+			owned.pending.set(work.requestId, pending);
+			job.signal.addEventListener('abort', () => {
+				this.#cancel(owned, pending);
+			}, {once: true});
+			const effects = owned.dispatcher.arrive({
+				id: work.requestId, className: work.className, caller: work.caller, deadlineMs: job.deadlineMs, bytes: job.body.byteLength,
+			}, clock.nowMs());
+			this.#run(owned, effects);
+		});
+	}
+
+	/** Takes in word that an instance is leaving or gone, from whatever source. */
+	observe(instanceAddress: string, state: 'leaving' | 'unreachable'): void {
+		for (const owned of this.#owned.values()) {
+			const id = this.#instanceIds(owned).get(instanceAddress);
+			if (id !== undefined) {
+				this.#run(owned, owned.dispatcher.observe(id, state, this.#options.clock.nowMs()));
+			}
+		}
+	}
+
+	#ownedOf(name: string, service: ServiceFile): Owned {
+		let owned = this.#owned.get(name);
+		if (owned === undefined) {
+			const dispatcher = new Dispatcher({maxQueued: this.#options.maxQueued, takeoverMs, initialServiceMs}, this.#options.clock.nowMs(), true);
+			owned = {dispatcher, pending: new Map(), heardMs: new Map()};
+			this.#owned.set(name, owned);
+			this.#options.logger.info('this host owns the slots of a service', {service: name});
+			this.#configure(owned, service);
+		}
+
+		return owned;
+	}
+
+	#configureAll(cfg: Configuration): void {
+		for (const [name, owned] of this.#owned) {
+			const service = cfg.service(name);
+			if (service === undefined) {
+				this.#run(owned, owned.dispatcher.configure([], [], this.#options.clock.nowMs()));
+			} else {
+				this.#configure(owned, service);
+			}
+		}
+	}
+
+	#configure(owned: Owned, service: ServiceFile): void {
+		const cfg = this.#options.config.current;
+		const instances = service.places
+			.filter(place => place.region === this.#options.region && cfg?.isDrained('zone', place.zone) !== true && cfg?.isDrained('region', place.region) !== true)
+			.flatMap(place => place.instances.map(instance => ({...instance, zone: place.zone, slots: place.slots})))
+			.filter(instance => cfg?.isDrained('instance', instance.id) !== true);
+		this.#run(owned, owned.dispatcher.configure(service.classes, instances, this.#options.clock.nowMs()));
+	}
+
+	/** Gives up the services that another host owns now: what waits goes back to be sent there. */
+	#releaseLost(): void {
+		const {members, logger} = this.#options;
+		for (const [name, owned] of this.#owned) {
+			if (members.isSelf(members.ownerOf(name))) {
+				continue;
+			}
+
+			for (const effect of owned.dispatcher.refuseQueued('the slots of the service have a new owner')) {
+				this.#settle(owned, effect.workId, refusal('not_owner', 'the slots of the service have a new owner'));
+			}
+
+			if (owned.pending.size === 0) {
+				this.#owned.delete(name);
+				logger.info('this host gave up the slots of a service', {service: name});
+			}
+		}
+	}
+
+	#run(owned: Owned, effects: Effects): void {
+		for (const effect of effects) {
+			switch (effect.kind) {
+				case 'start': {
+					void this.#call(owned, effect.workId, effect.instanceId, effect.address);
+					break;
+				}
+
+				case 'refuse': {
+					this.#settle(owned, effect.workId, {
+						kind: 'not-run', reason: effect.reason, detail: effect.detail, retryAfterMs: effect.retryAfterMs,
+					});
+					break;
+				}
+			}
+		}
+	}
+
+	#settle(owned: Owned, workId: string, outcome: Outcome): void {
+		const pending = owned.pending.get(workId);
+		owned.pending.delete(workId);
+		pending?.resolve(outcome);
+	}
+
+	#cancel(owned: Owned, pending: Pending): void {
+		if (owned.dispatcher.cancel(pending.job.work.requestId)) {
+			this.#settle(owned, pending.job.work.requestId, refusal('cancelled', 'the caller left before the request started'));
+			return;
+		}
+
+		pending.controller.abort();
+	}
+
+	async #call(owned: Owned, workId: string, instanceId: string, address: string): Promise<void> {
+		const {clock, upstream, tracer, config, metrics} = this.#options;
+		const pending = owned.pending.get(workId);
+		if (pending === undefined) {
+			throw new Error(`request ${workId} starts without being pending`);
+		}
+
+		const {job} = pending;
+		const startMs = clock.nowMs();
+		const remainingMs = job.deadlineMs - startMs;
+		const span = tracer.start('upstream', job.work.traceparent, {instance: instanceId});
+		const result = await upstream.call({
+			address,
+			work: {...job.work, traceparent: span.traceparent},
+			body: job.body,
+			isRepeatable: job.isRepeatable,
+			remainingMs: job.isRepeatable ? Math.min(remainingMs, this.#overdueMs(job)) : remainingMs,
+			shedMeansNotRun: config.current?.service(job.work.service)?.service.shedMeansNotRun ?? false,
+			signal: pending.controller.signal,
+		});
+		span.end(result.outcome.kind);
+		metrics.observe('upstream_seconds', {service: job.work.service, class: job.work.className}, clock.nowMs() - startMs);
+		await this.#takeResult(owned, pending, {id: instanceId, address}, result);
+	}
+
+	async #takeResult(owned: Owned, pending: Pending, instance: Instance, result: UpstreamResult): Promise<void> {
+		const {clock, quarantine} = this.#options;
+		const {work} = pending.job;
+		if (result.outcome.kind === 'whole') {
+			owned.heardMs.set(instance.id, clock.nowMs());
+			quarantine.clearAnswered(work.fingerprint, work.service);
+		}
+
+		if (result.isLeaving) {
+			this.#run(owned, owned.dispatcher.observe(instance.id, 'leaving', clock.nowMs()));
+		}
+
+		if (result.isCrashSign) {
+			await quarantine.strike(work.fingerprint, work.service, instance.id);
+		}
+
+		const end = describeEnd(result, pending.job.isRepeatable);
+		if (end.result === 'overdue') {
+			void this.#probe(owned, instance.id, instance.address);
+		}
+
+		const isBlocked = quarantine.isBlocked(work.fingerprint);
+		const isRetryWanted = end.isRetriable && !isBlocked && !pending.controller.signal.aborted;
+		const {effects, isRetrying} = owned.dispatcher.finished(work.requestId, end.result, isRetryWanted, clock.nowMs());
+		if (!isRetrying) {
+			this.#settle(owned, work.requestId, result.outcome);
+		}
+
+		this.#run(owned, effects);
+		if (owned.pending.size === 0) {
+			this.#releaseLost();
+		}
+	}
+
+	/** Time after which a repeatable request is taken for lost, such as on a connection that went silent. */
+	#overdueMs(job: Job): number {
+		const def = this.#options.config.current?.service(job.work.service)?.classes.find(item => item.name === job.work.className);
+		return Math.max(shortestOverdueMs, 2 * (def?.targetMs ?? shortestOverdueMs));
+	}
+
+	#checkHealth(): void {
+		const nowMs = this.#options.clock.nowMs();
+		for (const owned of this.#owned.values()) {
+			for (const [address, id] of this.#instanceIds(owned)) {
+				if (nowMs - (owned.heardMs.get(id) ?? Number.NEGATIVE_INFINITY) >= healthIntervalMs) {
+					void this.#probe(owned, id, address);
+				}
+			}
+		}
+	}
+
+	async #probe(owned: Owned, instanceId: string, address: string): Promise<void> {
+		const {upstream, clock} = this.#options;
+		const health = await upstream.health(address);
+		this.#run(owned, owned.dispatcher.observe(instanceId, health.state, clock.nowMs()));
+	}
+
+	/** Ids of the service's instances in this region, by address. */
+	#instanceIds(owned: Owned): Map<string, string> {
+		return new Map(owned.dispatcher.instances(this.#options.clock.nowMs()).map(instance => [instance.address, instance.id]));
+	}
+}
+
+function refusal(reason: (Outcome & {kind: 'not-run'})['reason'], detail: string): Outcome {
+	return {
+		kind: 'not-run', reason, detail, retryAfterMs: 0,
+	};
+}
+
+/** How a try ended for the slot count, and whether another try could help without breaking a promise. */
+function describeEnd(result: UpstreamResult, isRepeatable: boolean): {readonly result: Parameters<Dispatcher['finished']>[1]; readonly isRetriable: boolean} {
+	return match(result.outcome)
+		.returnType<ReturnType<typeof describeEnd>>()
+		.with({kind: 'whole'}, () => ({result: 'done', isRetriable: false}))
+		.with({kind: 'not-run', reason: 'shed'}, () => ({result: 'shed', isRetriable: true}))
+		.with({kind: 'not-run'}, () => ({result: 'unreachable', isRetriable: true}))
+		.with({kind: 'unknown', reason: 'connection_lost'}, () => ({result: 'lost', isRetriable: isRepeatable}))
+		.with({kind: 'unknown', reason: 'cancelled'}, () => ({result: 'cancelled', isRetriable: false}))
+		.with({kind: 'unknown', reason: 'answer_too_large'}, () => ({result: 'done', isRetriable: false}))
+		.with({kind: 'unknown'}, () => ({result: 'overdue', isRetriable: isRepeatable}))
+		.exhaustive();
+}
--- /dev/null
+++ b/src/services/gateway-service.ts
@@ -0,0 +1,171 @@
+import {createHash, randomUUID} from 'node:crypto';
+import {type Clock} from '../contracts/clock.js';
+import {type Outcome} from '../contracts/outcome.js';
+import {type Work} from '../contracts/work.js';
+import {type ConfigService} from './config-service.js';
+import {type HomeService} from './home-service.js';
+import {type Job} from './job.js';
+import {type MembersService} from './members-service.js';
+import {type Metrics} from './metrics.js';
+import {type QuarantineService} from './quarantine-service.js';
+import {type RouteService} from './route-service.js';
+import {type Tracer} from './tracer.js';
+
+type GatewayOptions = {
+	readonly clock: Clock;
+	readonly members: MembersService;
+	readonly config: ConfigService;
+	readonly route: RouteService;
+	readonly home: HomeService;
+	readonly quarantine: QuarantineService;
+	readonly metrics: Metrics;
+	readonly tracer: Tracer;
+	/** Bytes of request bodies held at once. */
+	readonly maxBufferedBytes: number;
+};
+
+/** A caller's request as it arrived. */
+type CallerRequest = {
+	readonly service: string;
+	readonly className: string | undefined;
+	/** Time that the caller allows, in milliseconds; the class's deadline when absent. */
+	readonly deadlineMs: string | undefined;
+	readonly key: string | undefined;
+	readonly method: string;
+	readonly path: string;
+	readonly headers: Readonly<Record<string, string>>;
+	readonly body: Uint8Array;
+	readonly traceparent: string | undefined;
+	readonly caller: string;
+	readonly signal: AbortSignal;
+};
+
+type Refusal = Outcome & {kind: 'not-run'};
+
+const methods = new Set(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']);
+const maxPathLength = 2048;
+
+/** Takes callers' requests in: checks them, gives them an identity and brings each to its outcome. */
+export class GatewayService {
+	readonly #options: GatewayOptions;
+	#inFlight = 0;
+	#bufferedBytes = 0;
+
+	constructor(options: GatewayOptions) {
+		this.#options = options;
+	}
+
+	/** Callers' requests without an outcome yet. */
+	get inFlight(): number {
+		return this.#inFlight;
+	}
+
+	/** Brings one request to its outcome. */
+	async handle(req: CallerRequest): Promise<Outcome> {
+		const {clock, metrics, tracer} = this.#options;
+		const startMs = clock.nowMs();
+		const checked = this.#check(req, startMs);
+		if (isRefusal(checked)) {
+			metrics.count('requests', {outcome: checked.kind, reason: checked.reason});
+			return checked;
+		}
+
+		this.#inFlight++;
+		this.#bufferedBytes += req.body.byteLength;
+		const span = tracer.start('gateway', req.traceparent, {service: req.service, class: checked.work.className});
+		const job: Job = {...checked, work: {...checked.work, traceparent: span.traceparent}};
+		try {
+			const outcome = job.isRepeatable ? await this.#options.route.route(job) : await this.#options.home.run(job);
+			span.end(outcome.kind);
+			metrics.count('requests', {outcome: outcome.kind, reason: outcome.kind === 'whole' ? '' : outcome.reason});
+			metrics.observe('request_seconds', {service: req.service, class: job.work.className}, clock.nowMs() - startMs);
+			return outcome;
+		} finally {
+			this.#inFlight--;
+			this.#bufferedBytes -= req.body.byteLength;
+		}
+	}
+
+	#check(req: CallerRequest, nowMs: number): Job | Refusal {
+		const {config, quarantine, maxBufferedBytes} = this.#options;
+		const cfg = config.current;
+		if (cfg === undefined) {
+			return refusal('not_ready', 'this host has no configuration yet', 1000);
+		}
+
+		const service = cfg.service(req.service);
+		if (service === undefined) {
+			return refusal('unknown_service', `no service is named "${req.service}"; known: ${Object.keys(cfg.publication.services).join(', ')}`);
+		}
+
+		const def = service.classes.find(item => item.name === req.className);
+		if (def === undefined) {
+			return refusal('unknown_class', `the header Cowslipspar-Class has to name a class of ${req.service}: ${service.classes.map(item => item.name).join(', ')}`);
+		}
+
+		if (!methods.has(req.method)) {
+			return refusal('bad_request', `the method ${req.method} is not carried; allowed: ${[...methods].join(', ')}`);
+		}
+
+		if (req.path.length > maxPathLength) {
+			return refusal('too_large', `the path is longer than ${maxPathLength} characters`);
+		}
+
+		const allowedMs = req.deadlineMs === undefined ? def.deadlineMs : Number(req.deadlineMs);
+		if (!Number.isFinite(allowedMs) || !/^\d+(\.\d+)?$/.test(req.deadlineMs ?? '1')) {
+			return refusal('bad_request', 'the header Cowslipspar-Deadline-Ms has to be a number of milliseconds');
+		}
+
+		if (allowedMs <= 0) {
+			return refusal('deadline_expired', 'the deadline has passed');
+		}
+
+		if (!def.repeatable && req.key === undefined) {
+			return refusal('key_required', `a request of class ${def.name} may not be repeated, so it needs an Idempotency-Key`);
+		}
+
+		if (this.#bufferedBytes + req.body.byteLength > maxBufferedBytes) {
+			return refusal('buffers_full', 'this host holds as many request bytes as it may', 500);
+		}
+
+		const work = this.#toWork(req, def.name, def.repeatable ? undefined : req.key, Math.min(allowedMs, def.deadlineMs));
+		if (quarantine.isBlocked(work.fingerprint)) {
+			return refusal('quarantined', 'the request broke several upstreams; an operator can lift this', 60_000);
+		}
+
+		return {
+			work, body: req.body, deadlineMs: nowMs + work.remainingMs, isRepeatable: def.repeatable, signal: req.signal,
+		};
+	}
+
+	#toWork(req: CallerRequest, className: string, key: string | undefined, remainingMs: number): Work {
+		const fingerprint = createHash('sha256')
+			.update(`${req.service}\n${req.method}\n${req.path}\n`)
+			.update(req.body)
+			.digest('base64url');
+		return {
+			requestId: randomUUID(),
+			service: req.service,
+			className,
+			method: req.method,
+			path: req.path,
+			remainingMs,
+			key,
+			headers: req.headers,
+			traceparent: req.traceparent,
+			region: this.#options.members.membership.self.region,
+			caller: req.caller,
+			fingerprint,
+		};
+	}
+}
+
+function isRefusal(value: Job | Refusal): value is Refusal {
+	return 'kind' in value;
+}
+
+function refusal(reason: Refusal['reason'], detail: string, retryAfterMs = 0): Refusal {
+	return {
+		kind: 'not-run', reason, detail, retryAfterMs,
+	};
+}
--- /dev/null
+++ b/src/services/members-service.ts
@@ -0,0 +1,223 @@
+import {Buffer} from 'node:buffer';
+import {createSocket} from 'node:dgram';
+import {decode, encode} from '@msgpack/msgpack';
+import {type Clock} from '../contracts/clock.js';
+import {GossipMessage} from '../contracts/gossip-message.js';
+import {type HostList} from '../contracts/host-list.js';
+import {type Member} from '../contracts/member.js';
+import {type MemberUpdate} from '../contracts/member-update.js';
+import {memberKey} from '../decisions/member-key.js';
+import {type Membership} from '../decisions/membership.js';
+import {rendezvousOrder} from '../decisions/rendezvous-order.js';
+import {type Lifecycle} from '../kernel/lifecycle.js';
+import {type Logger} from './logger.js';
+import {type Metrics} from './metrics.js';
+import {type PeerClient} from './peer-client.js';
+
+type MembersOptions = {
+	readonly membership: Membership;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly metrics: Metrics;
+	readonly hostList: HostList;
+	readonly peerClient: PeerClient;
+	/** Interval of the failure detector's ticks, in milliseconds. */
+	readonly tickMs: number;
+	/** Interval of reads of the platform's list while few members are known, in milliseconds. */
+	readonly hostListPollMs: number;
+};
+
+type Effects = ReturnType<Membership['tick']>;
+
+/** Bytes of an IPv4 and a UDP header. */
+const datagramOverhead = 28;
+/** A host that knows its region reads the platform's list this many times less often. */
+const quietPollFactor = 6;
+
+/** Runs the membership decisions over UDP and tells the other services what changed. */
+export class MembersService {
+	readonly membership: Membership;
+	readonly #options: MembersOptions;
+	readonly #socket = createSocket('udp4');
+	readonly #changeListeners: Array<() => void> = [];
+	readonly #revisionListeners: Array<(revision: number, address: string) => void> = [];
+	readonly #owners = new Map<string, Member>();
+	#polls = 0;
+
+	constructor(options: MembersOptions) {
+		this.#options = options;
+		this.membership = options.membership;
+	}
+
+	/** Listens, and begins to probe. */
+	async start(lifecycle: Lifecycle): Promise<void> {
+		const [host, port] = this.membership.self.peers.split(':');
+		await new Promise<void>((resolve, reject) => {
+			this.#socket.once('error', reject);
+			this.#socket.bind(Number(port), host, resolve);
+		});
+		this.#socket.on('error', err => {
+			this.#options.logger.warn('gossip socket failed', {err: err.message});
+		});
+		this.#socket.on('message', data => {
+			this.#receive(data);
+		});
+		lifecycle.own('gossip socket', () => {
+			this.#socket.close();
+		});
+		await this.#readHostList();
+		lifecycle.every('membership tick', this.#options.tickMs, () => {
+			this.run(this.membership.tick(this.#options.clock.nowMs()));
+		});
+		lifecycle.every('host list', this.#options.hostListPollMs, () => {
+			this.#polls++;
+			const isQuiet = this.membership.alive().length > 1 && !this.membership.isDelegate();
+			if (!isQuiet || this.#polls % quietPollFactor === 0) {
+				void this.#readHostList();
+			}
+		});
+	}
+
+	/** Calls back after each change of the view. */
+	onChange(listener: () => void): void {
+		this.#changeListeners.push(listener);
+	}
+
+	/** Calls back when a peer tells of a newer configuration. */
+	onRevision(listener: (revision: number, address: string) => void): void {
+		this.#revisionListeners.push(listener);
+	}
+
+	/** Whether this host may decide for others now. */
+	isConfident(): boolean {
+		return this.membership.isConfident(this.#options.clock.nowMs());
+	}
+
+	/** The member of the region that owns a service's slots. */
+	ownerOf(service: string): Member {
+		let owner = this.#owners.get(service);
+		if (owner === undefined) {
+			const staying = this.membership.staying();
+			owner = rendezvousOrder(service, staying, memberKey)[0] ?? this.membership.self;
+			this.#owners.set(service, owner);
+		}
+
+		return owner;
+	}
+
+	isSelf(member: Member): boolean {
+		return memberKey(member) === memberKey(this.membership.self);
+	}
+
+	/** Takes in that a member refused a connection. */
+	reportRefused(key: string): void {
+		this.run(this.membership.reportRefused(key, this.#options.clock.nowMs()));
+	}
+
+	/** Takes in another daemon's view and answers with the own one. */
+	exchange(updates: readonly MemberUpdate[]): MemberUpdate[] {
+		this.run(this.membership.merge(updates, this.#options.clock.nowMs()));
+		return this.membership.updates();
+	}
+
+	/** Carries out what the membership decided. */
+	run(effects: Effects): void {
+		let isChanged = false;
+		for (const effect of effects) {
+			switch (effect.kind) {
+				case 'send': {
+					this.#send(effect.address, effect.message);
+					break;
+				}
+
+				case 'sync': {
+					void this.#sync(effect.address);
+					break;
+				}
+
+				case 'revision': {
+					for (const listener of this.#revisionListeners) {
+						listener(effect.revision, effect.address);
+					}
+
+					break;
+				}
+
+				case 'changed': {
+					isChanged = true;
+					break;
+				}
+			}
+		}
+
+		if (isChanged) {
+			this.#owners.clear();
+			for (const listener of this.#changeListeners) {
+				listener();
+			}
+		}
+	}
+
+	#receive(data: Uint8Array): void {
+		const {metrics, clock} = this.#options;
+		metrics.count('gossip_received_bytes', {}, data.byteLength + datagramOverhead);
+		metrics.count('gossip_received_messages');
+		const message = GossipMessage.safeParse(decodeQuietly(data));
+		if (!message.success) {
+			metrics.count('gossip_invalid_messages');
+			return;
+		}
+
+		this.run(this.membership.receive(message.data, clock.nowMs()));
+	}
+
+	#send(address: string, message: GossipMessage): void {
+		const data = encode(message);
+		const [host, port] = address.split(':');
+		this.#options.metrics.count('gossip_sent_bytes', {}, data.byteLength + datagramOverhead);
+		this.#options.metrics.count('gossip_sent_messages');
+		this.#socket.send(Buffer.from(data.buffer, data.byteOffset, data.byteLength), Number(port), host, () => undefined);
+	}
+
+	async #sync(address: string): Promise<void> {
+		try {
+			const answer = await this.#options.peerClient.control(address).sync.mutate({updates: this.membership.updates()});
+			this.run(this.membership.merge(answer.updates, this.#options.clock.nowMs()));
+			this.#options.metrics.count('member_syncs');
+		} catch (err) {
+			this.#options.logger.debug('synchronisation of members failed', {address, err: String(err)});
+		}
+	}
+
+	async #readHostList(): Promise<void> {
+		const list = await this.#options.hostList.fetch();
+		if (!list.success) {
+			this.#options.logger.debug('the host list cannot be read', {err: list.error.message});
+			return;
+		}
+
+		const {self} = this.membership;
+		const entries = list.data.filter(host => host.role === 'entry');
+		const own = entries.filter(host => host.region === self.region).map(host => host.address);
+		const foreign = groupByRegion(entries);
+		foreign.delete(self.region);
+		this.membership.setHints(own, foreign);
+	}
+}
+
+function groupByRegion(hosts: ReadonlyArray<{region: string; address: string}>): Map<string, string[]> {
+	const groups = new Map<string, string[]>();
+	for (const host of hosts) {
+		groups.set(host.region, [...(groups.get(host.region) ?? []), host.address]);
+	}
+
+	return groups;
+}
+
+function decodeQuietly(data: Uint8Array): unknown {
+	try {
+		return decode(data);
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/src/services/peer-router.ts
@@ -0,0 +1,65 @@
+import {initTRPC} from '@trpc/server';
+import {z} from 'zod';
+import {HomeToken} from '../contracts/home-token.js';
+import {MemberUpdate} from '../contracts/member-update.js';
+import {OutcomeWire} from '../contracts/outcome-wire.js';
+import {memberKey} from '../decisions/member-key.js';
+import {type ConfigService} from './config-service.js';
+import {type HomeService} from './home-service.js';
+import {type MembersService} from './members-service.js';
+import {type QuarantineService} from './quarantine-service.js';
+import {type StatusService} from './status-service.js';
+
+type PeerRouterOptions = {
+	readonly members: MembersService;
+	readonly config: ConfigService;
+	readonly home: HomeService;
+	readonly quarantine: QuarantineService;
+	readonly status: StatusService;
+};
+
+const KeyOfToken = z.object({tokenId: z.string().max(32), part: z.string().max(64)});
+const RecordInput = KeyOfToken.extend({attempt: z.int().min(1), fingerprint: z.string().max(64)});
+const OutcomeInput = KeyOfToken.extend({attempt: z.int().min(1), outcome: OutcomeWire});
+const StrikeInput = z.object({
+	fingerprint: z.string().max(64),
+	service: z.string().max(63),
+	instances: z.array(z.string().max(63)).max(16),
+	isCleared: z.boolean(),
+	isRelayed: z.boolean(),
+});
+
+function createRouter(options: PeerRouterOptions) {
+	const trpc = initTRPC.create();
+	const call = trpc.procedure;
+	const {members, config, home, quarantine, status} = options;
+	return trpc.router({
+		/** Exchanges views of the region. */
+		sync: call.input(z.object({updates: z.array(MemberUpdate).max(5000)})).mutation(({input}) => ({updates: members.exchange(input.updates)})),
+		/** What the caller needs to come up to the revision in force here. */
+		pull: call.input(z.object({haveRevision: z.int().min(0)})).mutation(({input}) => config.answerPull(input.haveRevision)),
+		/** Takes on a token as its backup. */
+		open: call.input(HomeToken).mutation(({input}) => ({isOpen: home.openAsBackup(input)})),
+		/** Records an attempt of a key before it starts. */
+		record: call.input(RecordInput).mutation(({input}) => ({isRecorded: home.record(input.tokenId, input.part, input.attempt, input.fingerprint)})),
+		/** Keeps the outcome of an attempt. */
+		outcome: call.input(OutcomeInput).mutation(({input}) => {
+			home.recordOutcome(input.tokenId, input.part, input.attempt, input.outcome);
+		}),
+		/** Answers for the lost home of a key; `backup` is the process that is asked. */
+		resolve: call.input(KeyOfToken.extend({backup: z.string()})).mutation(({input}) => {
+			const isAsked = input.backup === memberKey(members.membership.self);
+			return z.encode(OutcomeWire, isAsked ? home.resolve(input.tokenId, input.part) : {kind: 'unknown', reason: 'host_lost', detail: 'the backup of the key lives no longer'});
+		}),
+		/** News of a request that broke an upstream. */
+		strike: call.input(StrikeInput).mutation(async ({input}) => quarantine.hear(input)),
+		hostStatus: call.query(() => status.host()),
+		regionStatus: call.query(async () => status.region()),
+	});
+}
+
+/** Control calls between daemons. */
+export type PeerRouter = ReturnType<typeof createRouter>;
+
+/** Builds the control calls that this daemon answers. */
+export const PeerRouter = {create: createRouter};
--- /dev/null
+++ b/src/services/peer-server.ts
@@ -0,0 +1,69 @@
+import {type HttpBindings} from '@hono/node-server';
+import {fetchRequestHandler} from '@trpc/server/adapters/fetch';
+import {Hono, type Context} from 'hono';
+import {type Clock} from '../contracts/clock.js';
+import {type Outcome} from '../contracts/outcome.js';
+import {Work} from '../contracts/work.js';
+import {departureSignal} from './departure-signal.js';
+import {type DispatchService} from './dispatch-service.js';
+import {type HomeService} from './home-service.js';
+import {type Job} from './job.js';
+import {type PeerRouter} from './peer-router.js';
+import {receiveBody} from './receive-body.js';
+
+type PeerServerOptions = {
+	readonly clock: Clock;
+	readonly router: PeerRouter;
+	readonly dispatch: DispatchService;
+	readonly home: HomeService;
+	readonly maxRequestBytes: number;
+};
+
+type PeerContext = Context<{Bindings: HttpBindings}>;
+
+/** The daemons' interface to each other: control calls, and requests to the owner of slots or the home of a key. */
+export function peerServer(options: PeerServerOptions): Hono {
+	const app = new Hono<{Bindings: HttpBindings}>();
+	app.all('/trpc/*', async ctx => fetchRequestHandler({
+		endpoint: '/trpc', req: ctx.req.raw, router: options.router, createContext: () => ({}),
+	}));
+	app.post('/work/owner', async ctx => handleWork(ctx, options, async job => options.dispatch.submit(job)));
+	app.post('/work/home', async ctx => handleWork(ctx, options, async job => options.home.runHere(job)));
+	return app as unknown as Hono;
+}
+
+async function handleWork(ctx: PeerContext, options: PeerServerOptions, run: (job: Job) => Promise<Outcome>): Promise<Response> {
+	const {incoming, outgoing} = ctx.env;
+	const arrivedMs = options.clock.nowMs();
+	const signal = departureSignal(outgoing);
+	const work = parseWork(incoming.headers['cowslipspar-work']);
+	const body = await receiveBody(incoming, options.maxRequestBytes);
+	if (work === undefined || !body.success) {
+		return new Response(undefined, {status: 400});
+	}
+
+	const outcome = await run({
+		work, body: body.data, deadlineMs: arrivedMs + work.remainingMs, isRepeatable: work.key === undefined, signal,
+	});
+	return respond(work, outcome);
+}
+
+function parseWork(text: string | string[] | undefined): Work | undefined {
+	if (typeof text !== 'string') {
+		return undefined;
+	}
+
+	try {
+		const parsed = Work.safeParse(JSON.parse(decodeURIComponent(text)));
+		return parsed.success ? parsed.data : undefined;
+	} catch {
+		return undefined;
+	}
+}
+
+function respond(work: Work, outcome: Outcome): Response {
+	const isWhole = outcome.kind === 'whole';
+	const frame = isWhole ? {...outcome, body: undefined} : outcome;
+	const headers = {'x-request-id': work.requestId, 'cowslipspar-frame': encodeURIComponent(JSON.stringify(frame))};
+	return new Response(isWhole ? outcome.body as ConstructorParameters<typeof Response>[0] : undefined, {status: 200, headers});
+}
--- /dev/null
+++ b/src/services/route-service.ts
@@ -0,0 +1,143 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {type Clock} from '../contracts/clock.js';
+import {type Member} from '../contracts/member.js';
+import {type Outcome} from '../contracts/outcome.js';
+import {memberKey} from '../decisions/member-key.js';
+import {RetryBudget} from '../decisions/retry-budget.js';
+import {type DispatchService} from './dispatch-service.js';
+import {type Job} from './job.js';
+import {type MembersService} from './members-service.js';
+import {type Metrics} from './metrics.js';
+import {type PeerClient} from './peer-client.js';
+import {type Tracer} from './tracer.js';
+
+type RouteOptions = {
+	readonly clock: Clock;
+	readonly members: MembersService;
+	readonly dispatch: DispatchService;
+	readonly peerClient: PeerClient;
+	readonly metrics: Metrics;
+	readonly tracer: Tracer;
+};
+
+/** Tries to reach the owner of a service while ownership moves. */
+const maxTries = 8;
+const firstPauseMs = 10;
+const longestPauseMs = 200;
+
+/** Brings a request to the owner of its service's slots in this region, here or at another host. */
+export class RouteService {
+	readonly #options: RouteOptions;
+	readonly #retries = new RetryBudget({ratio: 0.1, burst: 50});
+	/** Repeatable requests on their way to each member; given up when the member is suspected. */
+	readonly #waiting = new Map<string, Set<AbortController>>();
+
+	constructor(options: RouteOptions) {
+		this.#options = options;
+		options.members.onChange(() => {
+			this.#abandonSuspects();
+		});
+	}
+
+	/** Runs a request and answers its outcome. */
+	async route(job: Job): Promise<Outcome> {
+		const {clock, members, dispatch} = this.#options;
+		this.#retries.earn();
+		let outcome: Outcome = {
+			kind: 'not-run', reason: 'peer_unreachable', detail: 'the owner of the service cannot be reached', retryAfterMs: longestPauseMs,
+		};
+		for (let tries = 0; tries < maxTries; tries++) {
+			if (tries > 0) {
+				await delay(Math.min(longestPauseMs, firstPauseMs * (2 ** tries)));
+			}
+
+			if (job.signal.aborted || clock.nowMs() >= job.deadlineMs) {
+				return outcome;
+			}
+
+			const owner = members.ownerOf(job.work.service);
+			outcome = members.isSelf(owner) ? await dispatch.submit(job) : await this.#forward(job, owner);
+			if (!this.#isWorthAnotherTry(job, outcome)) {
+				return outcome;
+			}
+		}
+
+		return outcome;
+	}
+
+	async #forward(job: Job, owner: Member): Promise<Outcome> {
+		const {peerClient, clock, members, tracer, metrics} = this.#options;
+		const key = memberKey(owner);
+		const controller = new AbortController();
+		const stop = this.#watchOwner(key, job, controller);
+		const span = tracer.start('dispatcher', job.work.traceparent, {owner: owner.id});
+		const remainingMs = job.deadlineMs - clock.nowMs();
+		metrics.count('requests_forwarded');
+		const result = await peerClient.forward({address: owner.peers, role: 'owner'}, {...job.work, remainingMs, traceparent: span.traceparent}, job.body, controller.signal);
+		stop();
+		span.end(result.kind === 'outcome' ? result.outcome.kind : result.kind);
+		switch (result.kind) {
+			case 'outcome': {
+				return result.outcome;
+			}
+
+			case 'not_sent': {
+				members.reportRefused(key);
+				return {
+					kind: 'not-run', reason: 'peer_unreachable', detail: result.detail, retryAfterMs: longestPauseMs,
+				};
+			}
+
+			case 'lost': {
+				return {kind: 'unknown', reason: job.signal.aborted ? 'cancelled' : 'host_lost', detail: result.detail};
+			}
+		}
+	}
+
+	#isWorthAnotherTry(job: Job, outcome: Outcome): boolean {
+		switch (outcome.kind) {
+			case 'whole': {
+				return false;
+			}
+
+			case 'not-run': {
+				return outcome.reason === 'not_owner' || outcome.reason === 'peer_unreachable' || outcome.reason === 'paused';
+			}
+
+			case 'unknown': {
+				return outcome.reason === 'host_lost' && job.isRepeatable && this.#retries.spend();
+			}
+		}
+	}
+
+	#watchOwner(key: string, job: Job, controller: AbortController): () => void {
+		const leave = () => {
+			controller.abort();
+		};
+
+		job.signal.addEventListener('abort', leave, {once: true});
+		const waiting = this.#waiting.get(key) ?? new Set();
+		if (job.isRepeatable) {
+			waiting.add(controller);
+			this.#waiting.set(key, waiting);
+		}
+
+		return () => {
+			job.signal.removeEventListener('abort', leave);
+			waiting.delete(controller);
+			if (waiting.size === 0) {
+				this.#waiting.delete(key);
+			}
+		};
+	}
+
+	#abandonSuspects(): void {
+		for (const [key, waiting] of this.#waiting) {
+			if (this.#options.members.membership.statusOf(key) !== 'alive') {
+				for (const controller of waiting) {
+					controller.abort();
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/stand-ins/http-stand-in.ts
@@ -0,0 +1,60 @@
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {type Socket} from 'node:net';
+
+type Handler = (req: IncomingMessage, res: ServerResponse) => void;
+
+/** A small HTTP server whose connections can all be cut at once, as a crash cuts them. */
+export class HttpStandIn {
+	readonly #handler: Handler;
+	readonly #sockets = new Set<Socket>();
+	#server: Server | undefined;
+
+	constructor(handler: Handler) {
+		this.#handler = handler;
+	}
+
+	/** Connections open now. */
+	get connections(): number {
+		return this.#sockets.size;
+	}
+
+	/** Listens at an address and answers the port, which differs from 0 when 0 was asked for. */
+	async listen(host: string, port: number): Promise<number> {
+		const server = createServer({keepAliveTimeout: 600_000}, this.#handler);
+		server.on('connection', socket => {
+			this.#sockets.add(socket);
+			socket.on('close', () => this.#sockets.delete(socket));
+			socket.on('error', () => undefined);
+		});
+		this.#server = server;
+		return new Promise((resolve, reject) => {
+			server.once('error', reject);
+			server.listen(port, host, () => {
+				const address = server.address();
+				resolve(typeof address === 'object' && address !== null ? address.port : port);
+			});
+		});
+	}
+
+	/** Stops listening and cuts every connection. */
+	async close(): Promise<void> {
+		const server = this.#server;
+		this.#server = undefined;
+		if (server === undefined) {
+			return;
+		}
+
+		const closed = new Promise<void>(resolve => {
+			server.close(() => {
+				resolve();
+			});
+		});
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+
+		await closed;
+	}
+}
--- /dev/null
+++ b/tools/child.ts
@@ -0,0 +1,73 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {createWriteStream} from 'node:fs';
+import process from 'node:process';
+
+type ChildOptions = {
+	readonly script: string;
+	readonly args: readonly string[];
+	/** File for the child's standard error; nothing is kept without one. */
+	readonly logFile?: string;
+	/** Waits for a line `ready` on standard output. */
+	readonly waitsForReady: boolean;
+};
+
+/** One process started by a tool; only this handle ends it. */
+export class Child {
+	/** Starts a process with this Node.js. */
+	static async start(options: ChildOptions): Promise<Child> {
+		const child = spawn(process.execPath, [options.script, ...options.args], {stdio: ['ignore', options.waitsForReady ? 'pipe' : 'ignore', options.logFile === undefined ? 'ignore' : 'pipe']});
+		if (options.logFile !== undefined) {
+			child.stderr?.pipe(createWriteStream(options.logFile, {flags: 'a'}));
+		}
+
+		const handle = new Child(child);
+		if (options.waitsForReady) {
+			await new Promise<void>((resolve, reject) => {
+				child.stdout?.once('data', () => {
+					resolve();
+				});
+				child.once('exit', code => {
+					reject(new Error(`${options.script} ended with ${code} before it was ready`));
+				});
+			});
+		}
+
+		return handle;
+	}
+
+	readonly exited: Promise<number>;
+	readonly #process: ChildProcess;
+
+	private constructor(child: ChildProcess) {
+		this.#process = child;
+		this.exited = new Promise(resolve => {
+			child.once('exit', (code, signal) => {
+				resolve(code ?? (signal === 'SIGKILL' ? 137 : 1));
+			});
+		});
+	}
+
+	get pid(): number {
+		return this.#process.pid ?? 0;
+	}
+
+	get isRunning(): boolean {
+		return this.#process.exitCode === null && this.#process.signalCode === null;
+	}
+
+	/** Sends a signal to this process alone. */
+	signal(name: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT'): void {
+		if (this.isRunning) {
+			this.#process.kill(name);
+		}
+	}
+
+	/** Ends the process if it still runs. */
+	async kill(): Promise<void> {
+		if (this.isRunning) {
+			this.#process.kill('SIGCONT');
+			this.#process.kill('SIGKILL');
+			await this.exited;
+		}
+	}
+}
