--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -26,6 +26,7 @@
 import {peerServer} from './services/peer-server.js';
 import {QuarantineService} from './services/quarantine-service.js';
 import {RouteService} from './services/route-service.js';
+import {ShiftService} from './services/shift-service.js';
 import {StatusService} from './services/status-service.js';
 import {StopService} from './services/stop-service.js';
 import {Tracer} from './services/tracer.js';
@@ -166,7 +167,13 @@
 			}),
 		})
 		.add({
-			name: 'dispatch', requires: ['clock', 'logger', 'metrics', 'tracer', 'members', 'config', 'upstream', 'quarantine'], start({get, lifecycle}) {
+			name: 'shift', requires: ['clock', 'members', 'config', 'peerClient', 'metrics'],
+			start: ({get}) => new ShiftService({
+				clock: get('clock'), members: get('members'), config: get('config'), peerClient: get('peerClient'), metrics: get('metrics'),
+			}),
+		})
+		.add({
+			name: 'dispatch', requires: ['clock', 'logger', 'metrics', 'tracer', 'members', 'config', 'upstream', 'quarantine', 'shift'], start({get, lifecycle}) {
 				const dispatch = new DispatchService({
 					region: settings.host.region,
 					maxQueued: settings.limits.maxQueued,
@@ -178,6 +185,7 @@
 					config: get('config'),
 					upstream: get('upstream'),
 					quarantine: get('quarantine'),
+					shift: get('shift'),
 				});
 				dispatch.start(lifecycle);
 				get('metrics').gauge('requests_pending', () => dispatch.pending);
@@ -257,12 +265,12 @@
 			}),
 		})
 		.add({
-			name: 'peerServer', requires: ['clock', 'members', 'config', 'home', 'quarantine', 'status', 'dispatch'], async start({get, lifecycle}) {
+			name: 'peerServer', requires: ['clock', 'members', 'config', 'home', 'quarantine', 'status', 'dispatch', 'route', 'peerClient'], async start({get, lifecycle}) {
 				const router = PeerRouter.create({
-					members: get('members'), config: get('config'), home: get('home'), quarantine: get('quarantine'), status: get('status'),
+					members: get('members'), config: get('config'), home: get('home'), quarantine: get('quarantine'), status: get('status'), dispatch: get('dispatch'), peerClient: get('peerClient'),
 				});
 				const app = peerServer({
-					router, clock: get('clock'), dispatch: get('dispatch'), home: get('home'), maxRequestBytes: limits.maxRequestBytes,
+					router, clock: get('clock'), dispatch: get('dispatch'), home: get('home'), route: get('route'), maxRequestBytes: limits.maxRequestBytes,
 				});
 				await serveHttp(app, {address: listen.peers, receiveTimeoutMs: limits.receiveTimeoutMs}, lifecycle);
 				return {address: listen.peers};
--- a/src/decisions/dispatcher.ts
+++ b/src/decisions/dispatcher.ts
@@ -73,10 +73,11 @@
 	readonly #startRates = new Map<string, RateMeter>();
 	readonly #retries = new RetryBudget({ratio: 0.1, burst: 20});
 	#scheduler = new ClassScheduler([]);
-	#configured: ReadonlySet<string> = new Set();
+	#configured: ReadonlySet<string> | undefined;
 	#serviceMs: number;
 	#queued = 0;
 	#turn = 0;
+	readonly #isTakeover: boolean;
 	#hasTakenOver: boolean;
 
 	/** `isTakeover` says that another owner may have dispatched until just now. */
@@ -84,6 +85,7 @@
 		this.#options = options;
 		this.#startMs = nowMs;
 		this.#serviceMs = options.initialServiceMs;
+		this.#isTakeover = isTakeover;
 		this.#hasTakenOver = !isTakeover;
 	}
 
@@ -152,6 +154,7 @@
 			this.#classes.set(item.name, item);
 		}
 
+		const isFirst = this.#configured === undefined;
 		this.#configured = new Set(instances.map(info => info.id));
 		for (const [id, instance] of this.#instances) {
 			if (!this.#configured.has(id)) {
@@ -165,7 +168,7 @@
 		for (const info of instances) {
 			const current = this.#instances.get(info.id);
 			if (current?.info.address !== info.address || current.info.slots !== info.slots) {
-				const next = new InstanceSlots(info);
+				const next = new InstanceSlots(info, isFirst && this.#isTakeover);
 				next.inFlight = current?.inFlight ?? 0;
 				this.#instances.set(info.id, next);
 			}
@@ -186,11 +189,11 @@
 			return [this.#refuse(work.id, 'queue_full', `${this.#queued} requests wait already`, this.#drainMs(nowMs))];
 		}
 
-		if (this.usableSlots(nowMs) === 0 && ![...this.#instances.values()].some(instance => !instance.isLeaving)) {
+		const waitMs = this.expectedWait(work.className, work.caller, nowMs);
+		if (waitMs === Number.POSITIVE_INFINITY) {
 			return [this.#refuse(work.id, 'no_upstream', 'no instance of the service takes work in this region', noUpstreamRetryMs)];
 		}
 
-		const waitMs = this.#expectedWait(work, nowMs);
 		if (nowMs + waitMs + (serviceMargin * this.#serviceMs) > work.deadlineMs) {
 			return [this.#refuse(work.id, 'deadline_unreachable', `the wait is expected to be ${Math.round(waitMs)} ms`, waitMs)];
 		}
@@ -211,7 +214,7 @@
 		}
 
 		instance.finish(result, nowMs);
-		if (instance.inFlight === 0 && !this.#configured.has(instance.info.id)) {
+		if (instance.inFlight === 0 && this.#configured?.has(instance.info.id) !== true) {
 			this.#instances.delete(instance.info.id);
 		}
 
@@ -255,7 +258,7 @@
 
 		switch (state) {
 			case 'live': {
-				instance.isLeaving &&= !this.#configured.has(instanceId);
+				instance.isLeaving &&= this.#configured?.has(instanceId) !== true;
 				instance.markUp();
 				break;
 			}
@@ -432,13 +435,17 @@
 	}
 
 	/** Wait until a new request would start, from the requests ahead of it and the rate at which its class starts. */
-	#expectedWait(work: DispatchWork, nowMs: number): number {
-		const def = this.#classes.get(work.className)!;
+	expectedWait(className: string, caller: string, nowMs: number): number {
+		const def = this.#classes.get(className);
+		if (def === undefined || ![...this.#instances.values()].some(instance => instance.isUp && !instance.isLeaving)) {
+			return def === undefined ? 0 : Number.POSITIVE_INFINITY;
+		}
+
 		if (this.headroom(nowMs) > 0) {
 			return 0;
 		}
 
-		const ahead = this.queuedOf(work.className) === 0 ? 0 : this.#queueOf(work.className).ahead(work.caller);
+		const ahead = this.queuedOf(className) === 0 ? 0 : this.#queueOf(className).ahead(caller);
 		return ((ahead + 1) * 1000) / this.#classRate(def, nowMs);
 	}
 
--- a/src/decisions/instance-slots.ts
+++ b/src/decisions/instance-slots.ts
@@ -23,15 +23,17 @@
 	readonly info: InstanceInfo;
 	inFlight = 0;
 	isLeaving = false;
-	#warmSlots = 1;
+	#warmSlots: number;
 	#successes = 0;
 	#failures = 0;
 	#backoffUntilMs = 0;
 	#shedMs = Number.NEGATIVE_INFINITY;
 	#isProbing = false;
 
-	constructor(info: InstanceInfo) {
+	/** `isWarm` says that the instance has been serving already, such as for an earlier owner. */
+	constructor(info: InstanceInfo, isWarm: boolean) {
 		this.info = info;
+		this.#warmSlots = isWarm ? info.slots : 1;
 	}
 
 	/** Whether the instance is thought to be up. */
--- a/src/kernel/registry.ts
+++ b/src/kernel/registry.ts
@@ -14,6 +14,7 @@
 import {type PeerClient} from '../services/peer-client.js';
 import {type QuarantineService} from '../services/quarantine-service.js';
 import {type RouteService} from '../services/route-service.js';
+import {type ShiftService} from '../services/shift-service.js';
 import {type StatusService} from '../services/status-service.js';
 import {type StopService} from '../services/stop-service.js';
 import {type Tracer} from '../services/tracer.js';
@@ -33,6 +34,7 @@
 	readonly config: ConfigService;
 	readonly quarantine: QuarantineService;
 	readonly dispatch: DispatchService;
+	readonly shift: ShiftService;
 	readonly route: RouteService;
 	readonly home: HomeService;
 	readonly lookup: LookupService;
--- a/src/services/caller-server.ts
+++ b/src/services/caller-server.ts
@@ -1,4 +1,6 @@
+import {Buffer} from 'node:buffer';
 import {type HttpBindings} from '@hono/node-server';
+import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import {Hono, type Context} from 'hono';
 import {type Outcome} from '../contracts/outcome.js';
 import {departureSignal} from './departure-signal.js';
@@ -33,8 +35,11 @@
 			return respond(refused('unknown_service', `no service is named "${ctx.req.param('service')}"`), ctx.req.path);
 		}
 
-		ctx.header('cache-control', `max-age=${Math.floor(answer.ttlMs / 1000)}`);
-		return ctx.json(answer);
+		// Written past the framework's response, which costs as much as the look-up itself.
+		const body = JSON.stringify(answer);
+		ctx.env.outgoing.writeHead(200, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body), 'cache-control': `max-age=${Math.floor(answer.ttlMs / 1000)}`});
+		ctx.env.outgoing.end(body);
+		return RESPONSE_ALREADY_SENT;
 	});
 	app.all('/v1/call/:service/*', async ctx => {
 		const outcome = await handleCall(ctx, options);
--- a/src/services/dispatch-service.ts
+++ b/src/services/dispatch-service.ts
@@ -1,10 +1,14 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import {match} from 'ts-pattern';
 import {type Configuration} from '../config/configuration.js';
 import {type ServiceFile} from '../config/service-file.js';
 import {type Clock} from '../contracts/clock.js';
 import {type Outcome} from '../contracts/outcome.js';
 import {type Upstream} from '../contracts/upstream.js';
+import {type Grant} from '../contracts/grant.js';
 import {Dispatcher} from '../decisions/dispatcher.js';
+import {GrantBook} from '../decisions/grant-book.js';
+import {GrantIssuer} from '../decisions/grant-issuer.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
 import {type ConfigService} from './config-service.js';
 import {type Job} from './job.js';
@@ -12,6 +16,7 @@
 import {type MembersService} from './members-service.js';
 import {type Metrics} from './metrics.js';
 import {type QuarantineService} from './quarantine-service.js';
+import {type ShiftService} from './shift-service.js';
 import {type Tracer} from './tracer.js';
 
 type DispatchOptions = {
@@ -25,6 +30,7 @@
 	readonly config: ConfigService;
 	readonly upstream: Upstream;
 	readonly quarantine: QuarantineService;
+	readonly shift: ShiftService;
 };
 
 type Effects = ReturnType<Dispatcher['tick']>;
@@ -42,11 +48,18 @@
 type Owned = {
 	readonly dispatcher: Dispatcher;
 	readonly pending: Map<string, Pending>;
+	/** Credits that this owner gives to other regions, and holds from them. */
+	readonly issuer: GrantIssuer;
+	readonly book: GrantBook;
 	/** Moment at which each instance was last heard from, in monotonic milliseconds. */
 	readonly heardMs: Map<string, number>;
 };
 
 const tickMs = 20;
+/** Time that a refused request waits for credits from another region before it is tried again, in milliseconds. */
+const parkMs = 40;
+const maxParked = 500;
+const overflowReasons = new Set<string>(['deadline_unreachable', 'deadline_expired', 'queue_full', 'no_upstream']);
 const healthIntervalMs = 1000;
 /** Time during which a new owner uses half of the slots, in milliseconds. */
 const takeoverMs = 1000;
@@ -58,6 +71,8 @@
 export class DispatchService {
 	readonly #options: DispatchOptions;
 	readonly #owned = new Map<string, Owned>();
+	/** Requests refused here that wait for credits from another region. */
+	#parked = 0;
 
 	constructor(options: DispatchOptions) {
 		this.#options = options;
@@ -85,6 +100,8 @@
 			for (const owned of this.#owned.values()) {
 				this.#run(owned, owned.dispatcher.tick(this.#options.clock.nowMs()));
 			}
+
+			this.#askForCredits();
 		});
 		lifecycle.every('instance health', healthIntervalMs, () => {
 			this.#checkHealth();
@@ -98,7 +115,7 @@
 
 	/** Runs a request on an instance of the region; only the owner of the service's slots does. */
 	async submit(job: Job): Promise<Outcome> {
-		const {members, quarantine, config, clock} = this.#options;
+		const {members, quarantine, config} = this.#options;
 		const {work} = job;
 		if (!members.isConfident()) {
 			return refusal('paused', 'this host was paused and is finding out what it still owns');
@@ -118,6 +135,57 @@
 		}
 
 		const owned = this.#ownedOf(work.service, service);
+		if (work.region === this.#options.region) {
+			return this.#runOwn(owned, job);
+		}
+
+		owned.issuer.arrived(work.region);
+		const outcome = await this.#runHere(owned, job);
+		owned.issuer.answered(work.region, job.body.byteLength + (outcome.kind === 'whole' ? outcome.body.byteLength : 0));
+		return outcome;
+	}
+
+	/** Gives another region leave to send requests of a service; only the service's owner does. */
+	grant(serviceName: string, from: string, want: number): Grant {
+		const {members, config, clock, shift} = this.#options;
+		const service = config.current?.service(serviceName);
+		const budget = shift.linkBudget(from);
+		const isOwner = members.isConfident() && members.isSelf(members.ownerOf(serviceName));
+		if (service === undefined || budget === undefined || !isOwner) {
+			return {requests: 0, bytes: 0, validMs: 0};
+		}
+
+		const owned = this.#ownedOf(serviceName, service);
+		const nowMs = clock.nowMs();
+		return owned.issuer.issue({
+			from, want, headroom: owned.dispatcher.headroom(nowMs), ...budget,
+		}, nowMs);
+	}
+
+	/** Runs a request of the own region here, or elsewhere on a credit when the wait here is beyond its class's target. */
+	async #runOwn(owned: Owned, job: Job): Promise<Outcome> {
+		const {clock, shift} = this.#options;
+		for (;;) {
+			const nowMs = clock.nowMs();
+			const isLate = owned.dispatcher.expectedWait(job.work.className, job.work.caller, nowMs) > this.#targetMs(job);
+			const region = isLate ? owned.book.take(job.body.byteLength, nowMs) : undefined;
+			const outcome = region === undefined ? await this.#runHere(owned, job) : await shift.send(region, job);
+			const hasElsewhere = shift.regionsFor(job.work.service).length > 0;
+			const isRefused = outcome.kind === 'not-run' && overflowReasons.has(outcome.reason);
+			const isInTime = clock.nowMs() + parkMs + owned.dispatcher.serviceMs < job.deadlineMs;
+			if (!isRefused || !hasElsewhere || !isInTime || job.signal.aborted || this.#parked >= maxParked) {
+				return outcome;
+			}
+
+			this.#parked++;
+			await delay(parkMs);
+			this.#parked--;
+		}
+	}
+
+	async #runHere(owned: Owned, job: Job): Promise<Outcome> {
+		const {clock} = this.#options;
+		const {work} = job;
 		return new Promise<Outcome>(resolve => {
 			const pending: Pending = {job, controller: new AbortController(), resolve};
 			owned.pending.set(work.requestId, pending);
@@ -145,7 +213,9 @@
 		let owned = this.#owned.get(name);
 		if (owned === undefined) {
 			const dispatcher = new Dispatcher({maxQueued: this.#options.maxQueued, takeoverMs, initialServiceMs}, this.#options.clock.nowMs(), true);
-			owned = {dispatcher, pending: new Map(), heardMs: new Map()};
+			owned = {
+				dispatcher, pending: new Map(), issuer: new GrantIssuer(), book: new GrantBook(), heardMs: new Map(),
+			};
 			this.#owned.set(name, owned);
 			this.#options.logger.info('this host owns the slots of a service', {service: name});
 			this.#configure(owned, service);
@@ -287,8 +357,25 @@
 
 	/** Time after which a repeatable request is taken for lost, such as on a connection that went silent. */
 	#overdueMs(job: Job): number {
+		return Math.max(shortestOverdueMs, 2 * this.#targetMs(job));
+	}
+
+	#targetMs(job: Job): number {
 		const def = this.#options.config.current?.service(job.work.service)?.classes.find(item => item.name === job.work.className);
-		return Math.max(shortestOverdueMs, 2 * (def?.targetMs ?? shortestOverdueMs));
+		return def?.targetMs ?? shortestOverdueMs;
+	}
+
+	#askForCredits(): void {
+		const {shift, clock} = this.#options;
+		for (const [service, owned] of this.#owned) {
+			if (!owned.book.isWishing(clock.nowMs())) {
+				continue;
+			}
+
+			for (const {region, want} of owned.book.asks(shift.regionsFor(service), clock.nowMs())) {
+				void shift.ask(service, region, want, owned.book);
+			}
+		}
 	}
 
 	#checkHealth(): void {
--- a/src/services/peer-router.ts
+++ b/src/services/peer-router.ts
@@ -1,12 +1,15 @@
 import {initTRPC} from '@trpc/server';
 import {z} from 'zod';
+import {Grant} from '../contracts/grant.js';
 import {HomeToken} from '../contracts/home-token.js';
 import {MemberUpdate} from '../contracts/member-update.js';
 import {OutcomeWire} from '../contracts/outcome-wire.js';
 import {memberKey} from '../decisions/member-key.js';
 import {type ConfigService} from './config-service.js';
+import {type DispatchService} from './dispatch-service.js';
 import {type HomeService} from './home-service.js';
 import {type MembersService} from './members-service.js';
+import {type PeerClient} from './peer-client.js';
 import {type QuarantineService} from './quarantine-service.js';
 import {type StatusService} from './status-service.js';
 
@@ -16,11 +19,14 @@
 	readonly home: HomeService;
 	readonly quarantine: QuarantineService;
 	readonly status: StatusService;
+	readonly dispatch: DispatchService;
+	readonly peerClient: PeerClient;
 };
 
 const KeyOfToken = z.object({tokenId: z.string().max(32), part: z.string().max(64)});
 const RecordInput = KeyOfToken.extend({attempt: z.int().min(1), fingerprint: z.string().max(64)});
 const OutcomeInput = KeyOfToken.extend({attempt: z.int().min(1), outcome: OutcomeWire});
+const GrantInput = z.object({service: z.string().max(63), from: z.string().max(63), want: z.int().min(0).max(100_000), isRelayed: z.boolean()});
 const StrikeInput = z.object({
 	fingerprint: z.string().max(64),
 	service: z.string().max(63),
@@ -32,7 +38,7 @@
 function createRouter(options: PeerRouterOptions) {
 	const trpc = initTRPC.create();
 	const call = trpc.procedure;
-	const {members, config, home, quarantine, status} = options;
+	const {members, config, home, quarantine, status, dispatch, peerClient} = options;
 	return trpc.router({
 		/** Exchanges views of the region. */
 		sync: call.input(z.object({updates: z.array(MemberUpdate).max(5000)})).mutation(({input}) => ({updates: members.exchange(input.updates)})),
@@ -53,6 +59,13 @@
 		}),
 		/** News of a request that broke an upstream. */
 		strike: call.input(StrikeInput).mutation(async ({input}) => quarantine.hear(input)),
+		/** Leave to send requests of a service here; passed on to the service's owner. */
+		grant: call.input(GrantInput).mutation(async ({input}): Promise<Grant> => {
+			const owner = members.ownerOf(input.service);
+			return members.isSelf(owner) || input.isRelayed
+				? dispatch.grant(input.service, input.from, input.want)
+				: Grant.parse(await peerClient.control(owner.peers).grant.mutate({...input, isRelayed: true}));
+		}),
 		hostStatus: call.query(() => status.host()),
 		regionStatus: call.query(async () => status.region()),
 	});
--- a/src/services/peer-server.ts
+++ b/src/services/peer-server.ts
@@ -10,12 +10,14 @@
 import {type Job} from './job.js';
 import {type PeerRouter} from './peer-router.js';
 import {receiveBody} from './receive-body.js';
+import {type RouteService} from './route-service.js';
 
 type PeerServerOptions = {
 	readonly clock: Clock;
 	readonly router: PeerRouter;
 	readonly dispatch: DispatchService;
 	readonly home: HomeService;
+	readonly route: RouteService;
 	readonly maxRequestBytes: number;
 };
 
@@ -28,6 +30,7 @@
 		endpoint: '/trpc', req: ctx.req.raw, router: options.router, createContext: () => ({}),
 	}));
 	app.post('/work/owner', async ctx => handleWork(ctx, options, async job => options.dispatch.submit(job)));
+	app.post('/work/region', async ctx => handleWork(ctx, options, async job => options.route.route(job)));
 	app.post('/work/home', async ctx => handleWork(ctx, options, async job => options.home.runHere(job)));
 	return app as unknown as Hono;
 }
--- /dev/null
+++ b/src/services/shift-service.ts
@@ -0,0 +1,125 @@
+import {type Clock} from '../contracts/clock.js';
+import {Grant} from '../contracts/grant.js';
+import {type Member} from '../contracts/member.js';
+import {type Outcome} from '../contracts/outcome.js';
+import {type GrantBook} from '../decisions/grant-book.js';
+import {memberKey} from '../decisions/member-key.js';
+import {rendezvousOrder} from '../decisions/rendezvous-order.js';
+import {type ConfigService} from './config-service.js';
+import {type Job} from './job.js';
+import {type MembersService} from './members-service.js';
+import {type Metrics} from './metrics.js';
+import {type PeerClient} from './peer-client.js';
+
+type ShiftOptions = {
+	readonly clock: Clock;
+	readonly members: MembersService;
+	readonly config: ConfigService;
+	readonly peerClient: PeerClient;
+	readonly metrics: Metrics;
+};
+
+type LinkBudget = {readonly shiftCapPerSecond: number; readonly bytesPerSecond: number};
+
+const bitsPerMegabit = 1_000_000;
+const bitsPerByte = 8;
+/** Time after which a region that did not answer is asked again, in milliseconds. */
+const silentMs = 5000;
+
+/** Carries work to other regions on their credits, and asks them for credits. */
+export class ShiftService {
+	readonly #options: ShiftOptions;
+	/** Moment at which each region last failed to answer, in monotonic milliseconds. */
+	readonly #failedMs = new Map<string, number>();
+
+	constructor(options: ShiftOptions) {
+		this.#options = options;
+	}
+
+	/** Other regions that run a service, are not drained and can be reached. */
+	regionsFor(service: string): string[] {
+		const {config, members, clock} = this.#options;
+		const cfg = config.current;
+		const own = members.membership.self.region;
+		const nowMs = clock.nowMs();
+		const regions = new Set(cfg?.service(service)?.places.map(place => place.region));
+		return [...regions].filter(region => region !== own
+			&& cfg?.isDrained('region', region) !== true
+			&& this.linkBudget(region) !== undefined
+			&& members.membership.hostsOf(region).length > 0
+			&& nowMs - (this.#failedMs.get(region) ?? Number.NEGATIVE_INFINITY) > silentMs);
+	}
+
+	/** What one service may take of the link to a region: an equal part of it for each service. */
+	linkBudget(region: string): LinkBudget | undefined {
+		const {config, members} = this.#options;
+		const publication = config.current?.publication;
+		const own = members.membership.self.region;
+		const link = publication?.deployment.links.find(item => item.between.includes(region) && item.between.includes(own));
+		if (publication === undefined || link === undefined) {
+			return undefined;
+		}
+
+		const services = Math.max(1, Object.keys(publication.services).length);
+		const bytesPerSecond = (link.mbitPerSecond * bitsPerMegabit * link.workShare) / bitsPerByte / services;
+		return {shiftCapPerSecond: link.shiftCapPerSecond / services, bytesPerSecond};
+	}
+
+	/** Asks a region's owner of a service for credits. */
+	async ask(service: string, region: string, want: number, book: GrantBook): Promise<void> {
+		const {clock, peerClient, members, metrics} = this.#options;
+		const target = this.#entryOf(service, region);
+		if (target === undefined) {
+			return;
+		}
+
+		const askedMs = clock.nowMs();
+		try {
+			const answer = await peerClient.control(target.peers).grant.mutate({
+				service, from: members.membership.self.region, want, isRelayed: false,
+			});
+			const grant = Grant.parse(answer);
+			metrics.count('credits_received', {region}, grant.requests);
+			book.add(region, grant, askedMs);
+		} catch {
+			this.#failedMs.set(region, clock.nowMs());
+			book.drop(region);
+		}
+	}
+
+	/** Runs a request in another region. */
+	async send(region: string, job: Job): Promise<Outcome> {
+		const {clock, peerClient, metrics} = this.#options;
+		const target = this.#entryOf(job.work.service, region);
+		if (target === undefined) {
+			return {
+				kind: 'not-run', reason: 'peer_unreachable', detail: `no host of ${region} is known`, retryAfterMs: 0,
+			};
+		}
+
+		metrics.count('requests_shifted', {region});
+		const remainingMs = job.deadlineMs - clock.nowMs();
+		const result = await peerClient.forward({address: target.peers, role: 'region'}, {...job.work, remainingMs}, job.body, job.signal);
+		switch (result.kind) {
+			case 'outcome': {
+				return result.outcome;
+			}
+
+			case 'not_sent': {
+				this.#failedMs.set(region, clock.nowMs());
+				return {
+					kind: 'not-run', reason: 'peer_unreachable', detail: result.detail, retryAfterMs: 0,
+				};
+			}
+
+			case 'lost': {
+				return {kind: 'unknown', reason: job.signal.aborted ? 'cancelled' : 'host_lost', detail: result.detail};
+			}
+		}
+	}
+
+	/** The host of a region that is asked about a service; with few hosts it is the owner itself. */
+	#entryOf(service: string, region: string): Member | undefined {
+		return rendezvousOrder(service, this.#options.members.membership.hostsOf(region), memberKey)[0];
+	}
+}
--- a/stand-ins/run.ts
+++ b/stand-ins/run.ts
@@ -73,7 +73,7 @@
 		id: name,
 		...instance.counts,
 		runsByKey: verb === 'truth' ? Object.fromEntries(instance.runsByKey) : undefined,
-		runsByRequest: verb === 'truth' ? Object.fromEntries(instance.runsByRequest) : undefined,
+		runsByBody: verb === 'truth' ? Object.fromEntries(instance.runsByBody) : undefined,
 	}));
 }
 
--- a/stand-ins/upstream-stand-in.ts
+++ b/stand-ins/upstream-stand-in.ts
@@ -50,6 +50,8 @@
 export class UpstreamStandIn {
 	/** Runs by idempotency key. */
 	readonly runsByKey = new Map<string, number>();
+	/** Runs by request body. */
+	readonly runsByBody = new Map<string, number>();
 	/** Runs by request id. */
 	readonly runsByRequest = new Map<string, number>();
 	readonly counts = {
@@ -191,6 +193,7 @@
 		this.counts.runs++;
 		this.counts.peakInFlight = Math.max(this.counts.peakInFlight, this.#inFlight);
 		increment(this.runsByRequest, req.headers['x-request-id'] as string);
+		increment(this.runsByBody, body);
 		increment(this.runsByKey, req.headers['idempotency-key'] as string | undefined);
 		if (this.#mode.isFaulty || body.includes('poison')) {
 			void this.crash();
--- /dev/null
+++ b/tools/load-phase.ts
@@ -0,0 +1,95 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {SeededRandom} from '../src/decisions/seeded-random.js';
+import {type Fleet} from './fleet.js';
+import {runLoad} from './load.js';
+import {percentiles} from './percentiles.js';
+
+type Stream = Parameters<typeof runLoad>[0]['streams'][number];
+
+type ClassResult = {
+	readonly name: string;
+	readonly sent: number;
+	readonly whole: number;
+	/** Share of the requests sent that were answered whole before their deadline. */
+	readonly inTime: number;
+	readonly notRun: number;
+	readonly unknown: number;
+	readonly goodputPerSecond: number;
+	readonly p50Ms: number;
+	readonly p99Ms: number;
+};
+
+type PhaseResult = {
+	readonly phase: string;
+	readonly classes: readonly ClassResult[];
+	/** Share of the slots' time in which they worked. */
+	readonly slotsBusy: number;
+	readonly peakInFlight: number;
+};
+
+type Finished = Parameters<Parameters<typeof runLoad>[0]['onFinished']>[0] & {readonly atMs: number};
+
+type PhaseOptions = {
+	readonly fleet: Fleet;
+	readonly phase: string;
+	readonly streams: readonly Stream[];
+	readonly durationMs: number;
+	readonly seed: number;
+	/** Service whose slots are watched. */
+	readonly service: string;
+	readonly onFinished?: (finished: Finished) => void;
+};
+
+/** Runs one phase of a load and reports it by class, with the use of one service's slots. */
+export async function loadPhase(options: PhaseOptions): Promise<PhaseResult> {
+	const {fleet, phase, streams, durationMs, seed, service} = options;
+	const finished: Finished[] = [];
+	const before = await busyMs(fleet, service);
+	const startMs = performance.now();
+	let busyAtEnd = {busy: 0, peak: 0};
+	const loading = runLoad({
+		streams,
+		callers: [],
+		durationMs,
+		random: new SeededRandom(seed),
+		onFinished(item) {
+			const entry = {...item, atMs: performance.now() - startMs};
+			finished.push(entry);
+			options.onFinished?.(entry);
+		},
+	});
+	await delay(durationMs);
+	busyAtEnd = await busyMs(fleet, service);
+	const elapsedMs = performance.now() - startMs;
+	await loading;
+	const slots = fleet.publication.services[service]!.places.reduce((sum, place) => sum + (place.slots * place.instances.length), 0);
+	return {
+		phase,
+		classes: streams.map(stream => summarise(stream, finished.filter(item => item.stream === stream), durationMs)),
+		slotsBusy: Math.round(((busyAtEnd.busy - before.busy) / (slots * elapsedMs)) * 1000) / 1000,
+		peakInFlight: busyAtEnd.peak,
+	};
+}
+
+async function busyMs(fleet: Fleet, service: string): Promise<{busy: number; peak: number}> {
+	const instances = await fleet.upstreams('/counts');
+	const own = instances.filter(item => String(item['id']).startsWith(`${service}-`));
+	return {busy: own.reduce((sum, item) => sum + Number(item['busyMs']), 0), peak: Math.max(...own.map(item => Number(item['peakInFlight'])))};
+}
+
+function summarise(stream: Stream, items: readonly Finished[], durationMs: number): ClassResult {
+	const whole = items.filter(item => item.outcome.kind === 'whole');
+	const inTime = whole.filter(item => item.latencyMs <= stream.deadlineMs);
+	const {p50, p99} = percentiles(whole.map(item => item.latencyMs));
+	return {
+		name: `${stream.service}/${stream.className}`,
+		sent: items.length,
+		whole: whole.length,
+		inTime: Math.round((inTime.length / Math.max(1, items.length)) * 10_000) / 10_000,
+		notRun: items.filter(item => item.outcome.kind === 'not-run').length,
+		unknown: items.filter(item => item.outcome.kind === 'unknown').length,
+		goodputPerSecond: Math.round((inTime.length * 10_000) / durationMs) / 10,
+		p50Ms: p50,
+		p99Ms: p99,
+	};
+}
--- a/tools/load.ts
+++ b/tools/load.ts
@@ -15,11 +15,14 @@
 	readonly perSecond: number;
 	/** Bodies begin with this text. */
 	readonly marker?: string;
+	/** Senders of this stream, in place of the load's. */
+	readonly callers?: ReadonlyArray<Pick<Caller, 'send'>>;
 };
 
 type Finished = {
 	readonly stream: Stream;
-	readonly id: string;
+	/** The request's body, which is unlike any other's. */
+	readonly body: string;
 	readonly outcome: Outcome;
 	readonly latencyMs: number;
 	/** Whether a whole answer carries this request's own body. */
@@ -28,8 +31,8 @@
 
 type LoadOptions = {
 	readonly streams: readonly Stream[];
-	/** Callers that send; each request takes the next. */
-	readonly callers: readonly Caller[];
+	/** Senders; each request takes the next. */
+	readonly callers: ReadonlyArray<Pick<Caller, 'send'>>;
 	readonly durationMs: number;
 	readonly random: SeededRandom;
 	readonly onFinished: (finished: Finished) => void;
@@ -53,7 +56,8 @@
 			}
 
 			if (underWay.size < maxUnderWay) {
-				const caller = options.callers[turn++ % options.callers.length]!;
+				const callers = stream.callers ?? options.callers;
+				const caller = callers[turn++ % callers.length]!;
 				const sending = sendOne(caller, stream, options.onFinished);
 				underWay.add(sending);
 				void sending.finally(() => underWay.delete(sending));
@@ -65,7 +69,7 @@
 	await Promise.all(underWay);
 }
 
-async function sendOne(caller: Caller, stream: Stream, onFinished: (finished: Finished) => void): Promise<void> {
+async function sendOne(caller: Pick<Caller, 'send'>, stream: Stream, onFinished: (finished: Finished) => void): Promise<void> {
 	const id = randomUUID();
 	const body = `${stream.marker ?? ''}${id}`;
 	const startMs = performance.now();
@@ -79,6 +83,6 @@
 	});
 	const isOwn = outcome.kind === 'whole' && (JSON.parse(Buffer.from(outcome.body).toString()) as {echo: string}).echo === body;
 	onFinished({
-		stream, id, outcome, latencyMs: performance.now() - startMs, isOwn,
+		stream, body, outcome, latencyMs: performance.now() - startMs, isOwn,
 	});
 }
--- /dev/null
+++ b/tools/measure-flood.ts
@@ -0,0 +1,75 @@
+import {Caller} from '../src/caller.js';
+import {BaselineHost} from './baseline-host.js';
+import {Fleet} from './fleet.js';
+import {type runLoad} from './load.js';
+import {loadPhase} from './load-phase.js';
+import {publish} from './publish.js';
+
+type Stream = Parameters<typeof runLoad>[0]['streams'][number];
+type Sender = Pick<Caller, 'send'>;
+type Rates = {readonly bid: number; readonly watch: number; readonly history: number};
+
+const service = 'rostrum';
+/** Mean service time in milliseconds; long enough that the slots, not the processors of one machine, are the limit. */
+const meanMs = 100;
+const warmUpMs = 6000;
+const quietMs = 10_000;
+const floodMs = 15_000;
+/** Time that callers of the least urgent class allow, in milliseconds; short enough for a measurement to end. */
+const historyDeadlineMs = 4000;
+
+/** Rates of a flood, as shares of the service's capacity. */
+const floods = {
+	/** The least urgent class at five times its usual rate of 0.4. */
+	leastUrgent: {bid: 0.2, watch: 0.2, history: 2},
+	/** The most urgent class at three times the capacity. */
+	mostUrgent: {bid: 3, watch: 0.3, history: 0.3},
+} as const;
+
+/** A flood of one class against the same load without it, and against hosts on their own. */
+export async function measureFlood(kind: keyof typeof floods): Promise<Record<string, unknown>> {
+	const flood: Rates = floods[kind];
+	const fleet = new Fleet({
+		deployment: 'mvule', hostsPerZone: 3, meanMs, seed: 1,
+	});
+	const regions = fleet.publication.deployment.regions.map(region => region.name);
+	const callers = fleet.hosts.map(host => new Caller({hosts: [host.callers]}));
+	const baseline = fleet.hosts.map(host => new BaselineHost(fleet.publication, host.region));
+	try {
+		await fleet.startStandIns();
+		await fleet.startDaemons();
+		await publish(fleet);
+		await fleet.untilReady();
+		const slots = fleet.publication.services[service]!.places.reduce((sum, place) => sum + (place.slots * place.instances.length), 0);
+		const capacity = (slots * 1000) / meanMs;
+		const quiet = {bid: 0.2, watch: 0.2, history: 0};
+		const run = async (phase: string, rates: Rates, senders: readonly Sender[], durationMs: number) => loadPhase({
+			fleet, phase, streams: streams(rates, capacity, senders), durationMs, seed: 5, service,
+		});
+		await run('warm-up', {bid: 0.2, watch: 0.2, history: 0.3}, callers, warmUpMs);
+		const results = [
+			await run('quiet', quiet, callers, quietMs),
+			await run('flood', flood, callers, floodMs),
+			await run('baseline quiet', quiet, baseline, quietMs),
+			await run('baseline flood', flood, baseline, floodMs),
+		];
+		return {
+			hosts: fleet.hosts.length, regions: regions.length, slots, capacityPerSecond: capacity, offered: flood, results,
+		};
+	} finally {
+		for (const item of [...callers, ...baseline]) {
+			item.close();
+		}
+
+		await fleet.close();
+	}
+}
+
+function streams(rates: Rates, capacity: number, senders: readonly Sender[]): Stream[] {
+	const common = {service, callers: senders};
+	return [
+		{...common, className: 'bid', isRepeatable: false, deadlineMs: 1500, perSecond: rates.bid * capacity},
+		{...common, className: 'watch', isRepeatable: true, deadlineMs: 2000, perSecond: rates.watch * capacity},
+		{...common, className: 'history', isRepeatable: true, deadlineMs: historyDeadlineMs, perSecond: rates.history * capacity},
+	].filter(stream => stream.perSecond > 0);
+}
--- a/tools/measure.ts
+++ b/tools/measure.ts
@@ -2,8 +2,10 @@
 import meow from 'meow';
 import {measureBlocks} from './measure-blocks.js';
 import {measureConfig} from './measure-config.js';
+import {measureFlood} from './measure-flood.js';
 import {measureMembers} from './measure-members.js';
 import {measurePath} from './measure-path.js';
+import {measureShift} from './measure-shift.js';
 import {measureStop} from './measure-stop.js';
 
 const measurements: Readonly<Record<string, () => Promise<Record<string, unknown>>>> = {
@@ -12,6 +14,10 @@
 	members: measureMembers,
 	stop: measureStop,
 	blocks: measureBlocks,
+	flood: async () => measureFlood('leastUrgent'),
+	'urgent-flood': async () => measureFlood('mostUrgent'),
+	shift: async () => measureShift('overload'),
+	'region-loss': async () => measureShift('loss'),
 };
 
 const cli = meow(`
