Instances are kept for the most urgent requests of a service

Ruled out: cold runs alone (p50 is the warm time), the hosts' own queues (none). Change: where routes of several priorities share a service, the planner keeps some of its instances for the most urgent, from the routes before the first request and from the measured load afterwards; the rest use the others.

--- a/src/contracts/placement-report.ts
+++ b/src/contracts/placement-report.ts
@@ -8,8 +8,8 @@
 	haveVersion: z.int().min(0),
 	/** Service, route, and the shortest time of an answer that did not wait at its instance, in milliseconds. */
 	routes: z.array(z.tuple([z.string(), z.string(), z.number().min(0)])),
-	/** Service, route, object, requests, and the regions to which the route is confined. */
-	objects: z.array(z.tuple([z.string(), z.string(), z.string(), z.int().min(1), z.array(z.string())])),
+	/** Service, route, priority, object, requests, and the regions to which the route is confined. */
+	objects: z.array(z.tuple([z.string(), z.string(), z.int().min(0), z.string(), z.int().min(1), z.array(z.string())])),
 });
 
 /** What one host saw since its last report. */
--- a/src/decisions/item-replica.test.ts
+++ b/src/decisions/item-replica.test.ts
@@ -17,7 +17,7 @@
 			const replica = new ItemReplica();
 			// Each key's writes arrive in any order; removals follow the writes that they remove, as each source keeps that order.
 			replica.apply(changes);
-			for (const pick of [...picks.take(20)]) {
+			for (const pick of picks.take(20)) {
 				replica.apply([changes[pick % changes.length]!]);
 			}
 
--- a/src/decisions/placement-plan.test.ts
+++ b/src/decisions/placement-plan.test.ts
@@ -11,9 +11,9 @@
 	const {instances, objects, perSecond, fromMs, forMs} = options;
 	for (let nowMs = fromMs; nowMs < fromMs + forMs; nowMs += tickMs) {
 		plan.report({
-			intervalMs: tickMs, haveVersion: 0, routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', object, Math.max(1, Math.round(perSecond * tickMs / 1000)), []]),
+			intervalMs: tickMs, haveVersion: 0, routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', 0, object, Math.max(1, Math.round(perSecond * tickMs / 1000)), []]),
 		}, nowMs);
-		plan.tick(instances, nowMs);
+		plan.tick(instances, new Map(), nowMs);
 		onTick();
 	}
 }
@@ -22,9 +22,9 @@
 	id: `${region}${index}`, service: 's', region, slots: 3,
 }));
 const objects = Array.from({length: 24}, (_, index) => `k${index}`);
-const placed = (plan: PlacementPlan) => objects.map(object => plan.instanceOf(objectId('s', object)));
+const placed = (plan: PlacementPlan) => objects.map(object => plan.instanceOf(objectId('s', 0, object)));
 const wordOf = (region: string, slots: number, busy: number, offered: number) => ({
-	region, services: [['s', slots, busy] as [string, number, number]], offers: [['s', 'a', offered] as [string, string, number]], uses: [], times: [],
+	region, pools: [['s|rest', slots, busy] as [string, number, number]], reserved: [], offers: [['s|rest', 'a', offered] as [string, string, number]], uses: [], times: [],
 });
 
 describe('placement plan', () => {
@@ -41,7 +41,7 @@
 	});
 
 	it('levels instances that are busy beyond the margin', () => {
-		const plan = new PlacementPlan({region: 'a'}, 1, new Map(objects.map(object => [objectId('s', object), 'a0'])), 0);
+		const plan = new PlacementPlan({region: 'a'}, 1, new Map(objects.map(object => [objectId('s', 0, object), 'a0'])), 0);
 		play(plan, {
 			instances: instancesOf('a', 4), objects, perSecond: 4, fromMs: 0, forMs: 60_000,
 		});
@@ -88,9 +88,9 @@
 		for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
 			plan.hear(wordOf('b', 12, 0, 12), nowMs);
 			plan.report({
-				intervalMs: tickMs, haveVersion: 0, routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', object, 4, ['a']]),
+				intervalMs: tickMs, haveVersion: 0, routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', 0, object, 4, ['a']]),
 			}, nowMs);
-			plan.tick(nowMs < 10_000 ? instances : instances.slice(1), nowMs);
+			plan.tick(nowMs < 10_000 ? instances : instances.slice(1), new Map(), nowMs);
 			expect(placed(plan).some(id => id.startsWith('b'))).toBe(false);
 		}
 	});
@@ -107,6 +107,25 @@
 		expect(plan.report({...empty, haveVersion: whole.version + 1_000_000}, 1000).entries).toHaveLength(objects.length);
 	});
 
+	it('keeps instances for the most urgent requests, and the others off them', () => {
+		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
+		const instances = instancesOf('a', 4);
+		for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
+			plan.report({
+				intervalMs: tickMs,
+				haveVersion: 0,
+				routes: [['s', '/urgent/', 50], ['s', '/slow/', 500]],
+				objects: objects.flatMap(object => [['s', '/urgent/', 0, object, 1, []], ['s', '/slow/', 2, object, 1, []]] as Array<[string, string, number, string, number, string[]]>),
+			}, nowMs);
+			plan.tick(instances, new Map(), nowMs);
+		}
+
+		const urgent = new Set(objects.map(object => plan.instanceOf(objectId('s', 0, object))));
+		const slow = new Set(objects.map(object => plan.instanceOf(objectId('s', 2, object))));
+		expect([...urgent].filter(id => slow.has(id))).toEqual([]);
+		expect(new Set(plan.regionLoad().reserved)).toEqual(urgent);
+	});
+
 	it('offers to others only what is free here, and the busier ones get more', () => {
 		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
 		plan.hear(wordOf('b', 6, 6, 0), 9000);
--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -10,6 +10,8 @@
 type PlannedObject = {
 	readonly id: string;
 	readonly service: string;
+	/** 0 is the most urgent. */
+	readonly priority: number;
 	readonly objectKey: string;
 	allowedRegions: readonly string[];
 	/** Requests by route, decaying with the memory's time constant. */
@@ -22,23 +24,32 @@
 	movedMs: number;
 };
 
+/** Priorities of the routes with affinity to each service, most urgent first. */
+type Priorities = ReadonlyMap<string, readonly number[]>;
+
 type PlanOptions = {
 	readonly region: string;
 };
 
 /** Another region's word, as far as it concerns this one. */
 type Word = {
-	/** Slots offered here, by service. */
+	/** Slots offered here, by pool. */
 	readonly offers: ReadonlyMap<string, number>;
 	/** Slots kept busy here, by instance. */
 	readonly uses: ReadonlyMap<string, number>;
-	/** Busy share of the region, by service. */
+	/** Busy share of the region, by pool. */
 	readonly busy: ReadonlyMap<string, number>;
+	/** Instances for the most urgent requests only. */
+	readonly reserved: ReadonlySet<string>;
 	readonly heardMs: number;
 };
 
-/** One service as it stands at a tick. */
-type ServicePicture = {
+/** Instances that serve the same objects: those for the most urgent requests of a service, or the rest. */
+type Pool = {readonly name: string; readonly instances: readonly PlanInstance[]; readonly objects: readonly PlannedObject[]};
+
+/** One pool as it stands at a tick. */
+type PoolPicture = {
+	readonly name: string;
 	readonly instances: readonly PlanInstance[];
 	readonly byId: ReadonlyMap<string, PlanInstance>;
 	/** Busy slots by instance. */
@@ -68,6 +79,11 @@
 const movesPerTick = 1;
 /** Time for which an object stays after a move, in milliseconds. */
 const settleMs = 6000;
+/** Slots below which an object's requests count for nothing when instances are divided. */
+const leastDemand = 0.001;
+/** Busy share of the instances for the most urgent requests above which there are more of them, and below which fewer. */
+const reserveBusyShare = 0.45;
+const reserveIdleShare = 0.25;
 /** Busy share of the region above which objects leave it, and below which they come back. */
 const leaveShare = 0.6;
 const returnShare = 0.4;
@@ -96,7 +112,11 @@
 	#lastTickMs: number | undefined;
 	#shiftCredit = 0;
 	#offers: Array<[string, string, number]> = [];
-	#services: Array<[string, number, number]> = [];
+	#pools: Array<[string, number, number]> = [];
+	#reserved: ReadonlySet<string> = new Set();
+	#reservations: PlacementUpdate['reserved'] = [];
+	/** Instances that take work. */
+	#present: ReadonlySet<string> = new Set();
 	#uses = new Map<string, number>();
 
 	/** `version` has to exceed that of any earlier plan of the region; `known` are the assignments to begin with. */
@@ -105,8 +125,8 @@
 		this.#version = version;
 		this.#startMs = nowMs;
 		for (const [id, instanceId] of known) {
-			const separator = id.indexOf('|');
-			this.#add(id.slice(0, separator), id.slice(separator + 1), nowMs).instanceId = instanceId;
+			const [service, priority, ...rest] = id.split('|');
+			this.#add(service!, Number(priority), rest.join('|'), nowMs).instanceId = instanceId;
 		}
 	}
 
@@ -116,8 +136,8 @@
 			this.#learn(`${service}|${route}`, shortestMs);
 		}
 
-		for (const [service, route, objectKey, requests, allowedRegions] of report.objects) {
-			const object = this.#objects.get(objectId(service, objectKey)) ?? this.#add(service, objectKey, nowMs);
+		for (const [service, route, priority, objectKey, requests, allowedRegions] of report.objects) {
+			const object = this.#objects.get(objectId(service, priority, objectKey)) ?? this.#add(service, priority, objectKey, nowMs);
 			decay(object, nowMs);
 			const key = `${service}|${route}`;
 			object.counts.set(key, (object.counts.get(key) ?? 0) + requests);
@@ -135,9 +155,10 @@
 		}
 
 		this.#regions.set(load.region, {
-			offers: new Map(load.offers.filter(([, region]) => region === this.#options.region).map(([service, , slots]) => [service, slots])),
+			offers: new Map(load.offers.filter(([, region]) => region === this.#options.region).map(([pool, , slots]) => [pool, slots])),
 			uses: new Map(load.uses),
-			busy: new Map(load.services.map(([service, slots, busy]) => [service, slots > 0 ? busy / slots : 0])),
+			busy: new Map(load.pools.map(([pool, slots, busy]) => [pool, slots > 0 ? busy / slots : 0])),
+			reserved: new Set(load.reserved),
 			heardMs: nowMs,
 		});
 	}
@@ -145,20 +166,23 @@
 	/** What to tell the other regions' planners. */
 	regionLoad(): RegionLoad {
 		return {
-			region: this.#options.region, services: this.#services, offers: this.#offers, uses: [...this.#uses], times: [...this.#routeMs],
+			region: this.#options.region, pools: this.#pools, reserved: [...this.#reserved], offers: this.#offers, uses: [...this.#uses], times: [...this.#routeMs],
 		};
 	}
 
 	/** Adapts the plan to the instances that take work now. */
-	tick(instances: readonly PlanInstance[], nowMs: number): void {
+	tick(instances: readonly PlanInstance[], priorities: Priorities, nowMs: number): void {
 		const elapsedMs = Math.min(1000, nowMs - (this.#lastTickMs ?? nowMs));
 		this.#lastTickMs = nowMs;
 		this.#forget(nowMs);
 		this.#offers = [];
-		this.#services = [];
+		this.#pools = [];
 		this.#uses = new Map();
+		this.#present = new Set(instances.map(instance => instance.id));
 		const services = new Set(instances.map(instance => instance.service));
-		const pictures = [...services].map(service => this.#picture(service, instances, nowMs));
+		this.#reservations = [];
+		const pools = [...services].flatMap(service => this.#poolsOf(service, instances, priorities.get(service) ?? [], nowMs));
+		const pictures = pools.map(pool => this.#picture(pool, nowMs));
 		const demand = pictures.flatMap(picture => picture.objects).reduce((sum, object) => sum + this.#rate(object, nowMs), 0);
 		this.#shiftCredit = Math.min(shiftAtOnce * demand, this.#shiftCredit + (shiftPerSecond * demand * elapsedMs / 1000));
 		for (const picture of pictures) {
@@ -177,11 +201,12 @@
 		return this.#objects.get(id)?.instanceId ?? '';
 	}
 
-	#add(service: string, objectKey: string, nowMs: number): PlannedObject {
-		const id = objectId(service, objectKey);
+	#add(service: string, priority: number, objectKey: string, nowMs: number): PlannedObject {
+		const id = objectId(service, priority, objectKey);
 		const object: PlannedObject = {
 			id,
 			service,
+			priority,
 			objectKey,
 			allowedRegions: [],
 			counts: new Map(),
@@ -209,6 +234,7 @@
 		const withdrawn = [...this.#withdrawn].filter(([, withdrawnVersion]) => withdrawnVersion > version);
 		return {
 			version: this.#version,
+			reserved: this.#reservations,
 			entries: [...changed.map((object): [string, string] => [object.id, object.instanceId]), ...withdrawn.map(([id]): [string, string] => [id, ''])],
 		};
 	}
@@ -241,11 +267,56 @@
 		return total === 0 ? 0 : this.#rate(object, nowMs) * weighedMs / total / 1000;
 	}
 
-	#picture(service: string, all: readonly PlanInstance[], nowMs: number): ServicePicture {
+	/** Divides a service's instances: a few for the most urgent requests, so that they wait behind nothing long. */
+	#poolsOf(service: string, all: readonly PlanInstance[], routed: readonly number[], nowMs: number): Pool[] {
 		const instances = all.filter(instance => instance.service === service);
+		const objects = [...this.#objects.values()].filter(object => object.service === service);
+		const own = instances.filter(instance => instance.region === this.#options.region);
+		const asked = objects.filter(object => this.#demand(object, nowMs) > leastDemand);
+		const isLearning = nowMs - this.#startMs < learningMs || asked.length === 0;
+		const seen = isLearning ? routed : asked.map(object => object.priority);
+		const urgent = Math.min(...seen);
+		const isMixed = seen.some(priority => priority > urgent);
+		const reserved = isMixed ? this.#reserve(service, own, asked.filter(object => object.priority === urgent), nowMs) : [];
+		const reservedIds = new Set(reserved.map(instance => instance.id));
+		if (reserved.length > 0) {
+			this.#reservations.push([service, urgent, [...reservedIds]]);
+		}
+
+		const others = [...this.#reserved].filter(id => !instances.some(instance => instance.id === id));
+		this.#reserved = new Set([...others, ...reservedIds]);
+		const away = instances.filter(instance => instance.region !== this.#options.region);
+		const isReservedAway = (instance: PlanInstance) => this.#regions.get(instance.region)?.reserved.has(instance.id) === true;
+		const rest: Pool = {
+			name: `${service}|rest`,
+			instances: [...own.filter(instance => !reservedIds.has(instance.id)), ...away.filter(instance => !isReservedAway(instance))],
+			objects: reserved.length === 0 ? objects : objects.filter(object => object.priority !== urgent),
+		};
+		return reserved.length === 0 ? [rest] : [rest, {
+			name: `${service}|urgent`,
+			instances: [...reserved, ...away.filter(instance => isReservedAway(instance))],
+			objects: objects.filter(object => object.priority === urgent),
+		}];
+	}
+
+	/** Chooses the instances for the most urgent requests; the number follows their load slowly. */
+	#reserve(service: string, own: readonly PlanInstance[], objects: readonly PlannedObject[], nowMs: number): readonly PlanInstance[] {
+		if (own.length < 2) {
+			return [];
+		}
+
+		const slots = own.reduce((sum, instance) => sum + instance.slots, 0) / own.length;
+		const demand = objects.reduce((sum, object) => sum + this.#demand(object, nowMs), 0);
+		const current = own.filter(instance => this.#reserved.has(instance.id)).length;
+		const least = Math.ceil(demand / (reserveBusyShare * slots));
+		const most = Math.ceil(demand / (reserveIdleShare * slots));
+		const count = Math.max(1, Math.min(own.length - 1, Math.max(least, Math.min(most, current))));
+		return rendezvousOrder(`${service}|urgent`, own, instance => instance.id).slice(0, count);
+	}
+
+	#picture({name, instances, objects}: Pool, nowMs: number): PoolPicture {
 		const byId = new Map(instances.map(instance => [instance.id, instance]));
 		const load = new Map(instances.map(instance => [instance.id, this.#foreignUse(instance.id, nowMs)]));
-		const objects = [...this.#objects.values()].filter(object => object.service === service);
 		for (const object of objects) {
 			if (byId.has(object.instanceId)) {
 				load.set(object.instanceId, load.get(object.instanceId)! + this.#demand(object, nowMs));
@@ -253,7 +324,7 @@
 		}
 
 		return {
-			instances, byId, load, objects,
+			name, instances, byId, load, objects,
 		};
 	}
 
@@ -270,7 +341,7 @@
 	 * Gives every object an instance that takes work, first the ones that need most. Objects whose instance was lost go to another
 	 * region at once if this one is busy: the cap on shifts is meant for times without losses.
 	 */
-	#place(picture: ServicePicture, nowMs: number): void {
+	#place(picture: PoolPicture, nowMs: number): void {
 		const homeless = picture.objects.filter(object => !picture.byId.has(object.instanceId));
 		for (const object of homeless.toSorted((a, b) => this.#demand(b, nowMs) - this.#demand(a, nowMs))) {
 			const allowed = picture.instances.filter(instance => object.allowedRegions.length === 0 || object.allowedRegions.includes(instance.region));
@@ -285,14 +356,14 @@
 			const isFirstFine = share(picture, first) <= share(picture, least) + marginShare;
 			const here = isFirstFine ? first : least;
 			const away = this.#foreignTarget(picture, nowMs);
-			const mayLeave = object.instanceId !== '' && away !== undefined && allowed.includes(away) && share(picture, here) > busyShare;
+			const mayLeave = object.instanceId !== '' && !this.#present.has(object.instanceId) && away !== undefined && allowed.includes(away) && share(picture, here) > busyShare;
 			const isAwayBetter = mayLeave && share(picture, away) + marginShare < share(picture, here);
 			this.#move(picture, object, isAwayBetter ? away : here, nowMs);
 		}
 	}
 
 	/** Moves objects between this region and others while this one is busy, or back while it is not. */
-	#exchange(picture: ServicePicture, nowMs: number): void {
+	#exchange(picture: PoolPicture, nowMs: number): void {
 		const own = picture.instances.filter(instance => instance.region === this.#options.region);
 		if (own.length === 0) {
 			return;
@@ -317,7 +388,7 @@
 		}
 	}
 
-	#bringBack(picture: ServicePicture, own: readonly PlanInstance[], busy: () => number, nowMs: number): void {
+	#bringBack(picture: PoolPicture, own: readonly PlanInstance[], busy: () => number, nowMs: number): void {
 		const away = picture.objects.filter(object => {
 			const region = picture.byId.get(object.instanceId)?.region;
 			return region !== undefined && region !== this.#options.region && nowMs - object.movedMs > settleMs;
@@ -333,7 +404,7 @@
 	}
 
 	/** The least busy instance of the other regions that still offer room. */
-	#foreignTarget(picture: ServicePicture, nowMs: number): PlanInstance | undefined {
+	#foreignTarget(picture: PoolPicture, nowMs: number): PlanInstance | undefined {
 		const used = new Map<string, number>();
 		for (const object of picture.objects) {
 			const region = picture.byId.get(object.instanceId)?.region;
@@ -342,23 +413,22 @@
 			}
 		}
 
-		const service = picture.instances[0]?.service ?? '';
 		const open = picture.instances.filter(({region}) => {
 			const word = this.#regions.get(region);
-			return region !== this.#options.region && word !== undefined && nowMs - word.heardMs < wordMs && (used.get(region) ?? 0) < (word.offers.get(service) ?? 0);
+			return region !== this.#options.region && word !== undefined && nowMs - word.heardMs < wordMs && (used.get(region) ?? 0) < (word.offers.get(picture.name) ?? 0);
 		});
 		return leastBusy(picture, open);
 	}
 
 	/** An object to take from a busy instance: the largest that has stayed there long enough. */
-	#pick(picture: ServicePicture, from: PlanInstance, nowMs: number, to: PlanInstance | undefined): PlannedObject | undefined {
+	#pick(picture: PoolPicture, from: PlanInstance, nowMs: number, to: PlanInstance | undefined): PlannedObject | undefined {
 		const there = picture.objects.filter(object => object.instanceId === from.id && nowMs - object.movedMs > settleMs && this.#demand(object, nowMs) > 0
 			&& (to === undefined || object.allowedRegions.length === 0 || object.allowedRegions.includes(to.region)));
 		return there.toSorted((a, b) => this.#demand(b, nowMs) - this.#demand(a, nowMs))[0];
 	}
 
 	/** Moves objects from the busiest instance of the region to the least busy one. */
-	#level(picture: ServicePicture, nowMs: number): void {
+	#level(picture: PoolPicture, nowMs: number): void {
 		const own = picture.instances.filter(instance => instance.region === this.#options.region);
 		for (let moves = 0; moves < movesPerTick && own.length > 1; moves++) {
 			const from = own.toSorted((a, b) => share(picture, b) - share(picture, a))[0]!;
@@ -380,7 +450,7 @@
 		}
 	}
 
-	#move(picture: ServicePicture, object: PlannedObject, to: PlanInstance, nowMs: number): void {
+	#move(picture: PoolPicture, object: PlannedObject, to: PlanInstance, nowMs: number): void {
 		const demand = this.#demand(object, nowMs);
 		const before = picture.load.get(object.instanceId);
 		if (before !== undefined) {
@@ -395,7 +465,7 @@
 	}
 
 	/** Notes what other regions may use here, and what this region uses there. */
-	#account(picture: ServicePicture, nowMs: number): void {
+	#account(picture: PoolPicture, nowMs: number): void {
 		const own = picture.instances.filter(instance => instance.region === this.#options.region);
 		const slots = own.reduce((sum, instance) => sum + instance.slots, 0);
 		for (const object of picture.objects) {
@@ -405,24 +475,23 @@
 			}
 		}
 
-		const [first] = own;
-		if (first !== undefined) {
+		if (own.length > 0) {
 			const busy = own.reduce((sum, instance) => sum + picture.load.get(instance.id)!, 0);
-			this.#services.push([first.service, slots, busy]);
+			this.#pools.push([picture.name, slots, busy]);
 			const foreign = own.reduce((sum, instance) => sum + this.#foreignUse(instance.id, nowMs), 0);
-			this.#offer(first.service, Math.max(0, (offeredShare * slots) - busy + foreign), busy / slots, nowMs);
+			this.#offer(picture.name, Math.max(0, (offeredShare * slots) - busy + foreign), busy / slots, nowMs);
 		}
 	}
 
 	/** Divides the slots that are free among the regions that are busier than this one, by how much busier they are. */
-	#offer(service: string, spare: number, ownBusy: number, nowMs: number): void {
+	#offer(pool: string, spare: number, ownBusy: number, nowMs: number): void {
 		const needs = [...this.#regions]
 			.filter(([, word]) => nowMs - word.heardMs < wordMs)
-			.map(([region, word]): [string, number] => [region, Math.max(0, (word.busy.get(service) ?? 0) - ownBusy)]);
+			.map(([region, word]): [string, number] => [region, Math.max(0, (word.busy.get(pool) ?? 0) - ownBusy)]);
 		const total = needs.reduce((sum, [, need]) => sum + need, 0);
 		for (const [region, need] of needs) {
 			if (need > 0) {
-				this.#offers.push([service, region, spare * need / total]);
+				this.#offers.push([pool, region, spare * need / total]);
 			}
 		}
 	}
@@ -450,11 +519,11 @@
 	return sum;
 }
 
-function share(picture: ServicePicture, instance: PlanInstance): number {
+function share(picture: PoolPicture, instance: PlanInstance): number {
 	return picture.load.get(instance.id)! / instance.slots;
 }
 
-function leastBusy(picture: ServicePicture, instances: readonly PlanInstance[]): PlanInstance | undefined {
+function leastBusy(picture: PoolPicture, instances: readonly PlanInstance[]): PlanInstance | undefined {
 	let best: PlanInstance | undefined;
 	for (const instance of instances) {
 		if (best === undefined || share(picture, instance) < share(picture, best)) {
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -16,12 +16,16 @@
 	readonly isSponsor: (instanceId: string, region: string) => boolean;
 	/** Instance to which the region's planner assigned an object, by the object's id. */
 	readonly assignments: ReadonlyMap<string, string>;
+	/** Instances that the planner keeps for the most urgent requests of a service. */
+	readonly reservationOf: (service: string) => {readonly priority: number; readonly instanceIds: ReadonlySet<string>} | undefined;
 };
 
 type PlacementRequest = {
 	readonly service: string;
 	/** Object that the request concerns, on a route where that makes instances faster. */
 	readonly objectKey: string | undefined;
+	/** 0 is the most urgent. */
+	readonly priority: number;
 	readonly isRepeatable: boolean;
 	readonly allowedRegions: readonly string[];
 	/** Instances that were tried already. */
@@ -46,7 +50,7 @@
 	choose(req: PlacementRequest, nowMs: number): Candidate | undefined {
 		const allowed = this.#options.table.serving(req.service).filter(entry =>
 			!req.avoid.has(entry.instance.id) && (req.allowedRegions.length === 0 || req.allowedRegions.includes(entry.region)));
-		const assigned = req.objectKey === undefined ? undefined : this.#options.assignments.get(objectId(req.service, req.objectKey));
+		const assigned = req.objectKey === undefined ? undefined : this.#options.assignments.get(objectId(req.service, req.priority, req.objectKey));
 		const planned = allowed.find(entry => entry.instance.id === assigned);
 		if (planned !== undefined && this.#mayUse(planned, req, nowMs)) {
 			return planned;
@@ -54,7 +58,14 @@
 
 		const own = allowed.filter(entry => entry.region === this.#options.region);
 		const others = allowed.filter(entry => entry.region !== this.#options.region);
-		return this.#first(own, req, nowMs) ?? this.#first(others, req, nowMs);
+		const fitting = own.filter(entry => this.#isFitting(entry, req));
+		return this.#first(fitting, req, nowMs) ?? this.#first(own, req, nowMs) ?? this.#first(others, req, nowMs);
+	}
+
+	/** Whether an instance is meant for requests of this priority. */
+	#isFitting(entry: Candidate, req: PlacementRequest): boolean {
+		const reservation = this.#options.reservationOf(req.service);
+		return reservation === undefined || reservation.instanceIds.has(entry.instance.id) === (req.priority === reservation.priority);
 	}
 
 	#first(candidates: readonly Candidate[], req: PlacementRequest, nowMs: number): Candidate | undefined {
--- a/src/services/planner-service.ts
+++ b/src/services/planner-service.ts
@@ -10,6 +10,7 @@
 import {type MembersService} from './members-service.js';
 import {type Metrics} from './metrics.js';
 import {type PeerClient} from './peer-client.js';
+import {type SteeringService} from './steering-service.js';
 
 type PlannerOptions = {
 	readonly clock: Clock;
@@ -18,9 +19,11 @@
 	readonly members: MembersService;
 	readonly peerClient: PeerClient;
 	readonly instances: InstanceTable;
+	readonly steering: SteeringService;
 };
 
-type ObjectRequest = {readonly service: string; readonly route: string; readonly objectKey: string; readonly allowedRegions: readonly string[]};
+type Reservation = {readonly priority: number; readonly instanceIds: ReadonlySet<string>};
+type ObjectRequest = {readonly service: string; readonly route: string; readonly priority: number; readonly objectKey: string; readonly allowedRegions: readonly string[]};
 
 /** Interval of the reports to the planner, and of its plans, in milliseconds. */
 const reportMs = 500;
@@ -37,6 +40,7 @@
 	readonly #assignments = new Map<string, string>();
 	readonly #requests = new Map<string, ObjectRequest & {count: number}>();
 	readonly #answers = new Map<string, {readonly service: string; readonly route: string; shortestMs: number}>();
+	#reserved: ReadonlyMap<string, Reservation> = new Map();
 	#version = 0;
 	#plan: PlacementPlan | undefined;
 	#lastReportMs: number;
@@ -53,6 +57,11 @@
 		return this.#assignments;
 	}
 
+	/** Instances that the planner keeps for the most urgent requests of a service. */
+	reservationOf(service: string): Reservation | undefined {
+		return this.#reserved.get(service);
+	}
+
 	start(lifecycle: Lifecycle): void {
 		lifecycle.every('placement report', reportMs, () => {
 			this.#tick();
@@ -62,7 +71,7 @@
 
 	/** Counts a request for an object. */
 	countRequest(req: ObjectRequest): void {
-		const id = `${objectId(req.service, req.objectKey)}|${req.route}`;
+		const id = `${objectId(req.service, req.priority, req.objectKey)}|${req.route}`;
 		const entry = this.#requests.get(id);
 		if (entry === undefined) {
 			this.#requests.set(id, {...req, count: 1});
@@ -104,7 +113,7 @@
 		if (isPlanner) {
 			const nowMs = clock.nowMs();
 			const plan = this.#planHere();
-			plan.tick(instances.open(nowMs), nowMs);
+			plan.tick(instances.open(nowMs), this.#options.steering.priorities, nowMs);
 			this.#ticks++;
 			if (this.#ticks % ticksPerLog === 0) {
 				this.#options.logger.info('load of the region', plan.regionLoad());
@@ -140,7 +149,7 @@
 			intervalMs: Math.max(1, nowMs - this.#lastReportMs),
 			haveVersion: this.#version,
 			routes: [...this.#answers.values()].map(entry => [entry.service, entry.route, Math.round(entry.shortestMs)]),
-			objects: [...this.#requests.values()].map(entry => [entry.service, entry.route, entry.objectKey, entry.count, [...entry.allowedRegions]]),
+			objects: [...this.#requests.values()].map(entry => [entry.service, entry.route, entry.priority, entry.objectKey, entry.count, [...entry.allowedRegions]]),
 		};
 		this.#lastReportMs = nowMs;
 		this.#requests.clear();
@@ -157,6 +166,7 @@
 
 	#apply(update: PlacementUpdate): void {
 		this.#version = update.version;
+		this.#reserved = new Map(update.reserved.map(([service, priority, ids]) => [service, {priority, instanceIds: new Set(ids)}]));
 		for (const [id, instanceId] of update.entries) {
 			if (instanceId === '') {
 				this.#assignments.delete(id);
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -126,7 +126,7 @@
 		this.#options.retries.countFirst(service, this.#options.clock.nowMs());
 		if (route.hasAffinity && req.objectKey !== undefined) {
 			this.#options.planner.countRequest({
-				service, route: route.prefix, objectKey: req.objectKey, allowedRegions: route.allowedRegions,
+				service, route: route.prefix, priority: route.priority, objectKey: req.objectKey, allowedRegions: route.allowedRegions,
 			});
 		}
 
@@ -185,6 +185,7 @@
 		return placement.choose({
 			service,
 			objectKey: route.hasAffinity ? req.objectKey : undefined,
+			priority: route.priority,
 			isRepeatable: route.isRepeatable,
 			allowedRegions: route.allowedRegions,
 			avoid: tried,
--- a/src/services/steering-service.ts
+++ b/src/services/steering-service.ts
@@ -32,6 +32,7 @@
 	readonly #listeners: Array<(table: RouteTable) => void> = [];
 	#table: RouteTable | undefined;
 	#matcher = new RouteMatcher([]);
+	#priorities: ReadonlyMap<string, readonly number[]> = new Map();
 
 	constructor(options: SteeringOptions) {
 		this.#options = options;
@@ -42,6 +43,11 @@
 		return this.#table;
 	}
 
+	/** Priorities of the routes with affinity to each service, most urgent first. */
+	get priorities(): ReadonlyMap<string, readonly number[]> {
+		return this.#priorities;
+	}
+
 	/** Hosts that the store lists, each with the id under which it stands. */
 	get hosts(): ReadonlyMap<string, ListedHost> {
 		return this.#hosts;
@@ -125,6 +131,7 @@
 		this.#table = next.data;
 		this.#matcher = new RouteMatcher(next.data.routes);
 		this.#split.retain(next.data.routes);
+		this.#priorities = prioritiesOf(next.data.routes);
 		logger.info('configuration in force', {
 			version: next.data.version, revision: change.item.revision, source, routes: next.data.routes.length,
 		});
@@ -186,3 +193,15 @@
 		}
 	}
 }
+
+function prioritiesOf(routes: readonly Route[]): Map<string, readonly number[]> {
+	const priorities = new Map<string, number[]>();
+	for (const route of routes.filter(item => item.hasAffinity)) {
+		for (const {service} of route.targets) {
+			const own = priorities.get(service) ?? [];
+			priorities.set(service, [...own, route.priority].toSorted((a, b) => a - b));
+		}
+	}
+
+	return priorities;
+}
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -201,6 +201,7 @@
 					members: get('members'),
 					peerClient: get('peerClient'),
 					instances: get('instances'),
+					steering: get('steering'),
 				});
 				planner.start(lifecycle);
 				return planner;
@@ -230,6 +231,7 @@
 					random: new SeededRandom(seed + 2),
 					region: settings.host.region,
 					assignments: get('planner').assignments,
+					reservationOf: service => get('planner').reservationOf(service),
 					isSponsor(instanceId, region) {
 						const [sponsor] = rendezvousOrder(instanceId, members.membership.staying(), memberKey);
 						return region === settings.host.region && sponsor !== undefined && members.isSelf(sponsor) && members.isConfident();
