--- a/src/decisions/cold-allowance.ts
+++ b/src/decisions/cold-allowance.ts
@@ -26,9 +26,4 @@
 		count.add(nowMs);
 		return true;
 	}
-
-	/** Forgets instances that are gone. */
-	forget(instanceId: string): void {
-		this.#counts.delete(instanceId);
-	}
 }
--- a/src/decisions/instance-table.ts
+++ b/src/decisions/instance-table.ts
@@ -95,12 +95,4 @@
 		const {failedMs} = entry.health;
 		return nowMs < entry.coldUntilMs || (failedMs !== undefined && nowMs - failedMs < doubtMs);
 	}
-
-	/** Takes in that an instance says it is cold for some milliseconds more. */
-	noteCold(id: string, coldMs: number, nowMs: number): void {
-		const known = this.#entries.get(id);
-		if (known !== undefined && nowMs + coldMs > known.coldUntilMs) {
-			this.#entries.set(id, {...known, coldUntilMs: nowMs + coldMs});
-		}
-	}
 }
--- a/src/decisions/placement-plan.test.ts
+++ b/src/decisions/placement-plan.test.ts
@@ -11,7 +11,7 @@
 	const {instances, objects, perSecond, fromMs, forMs} = options;
 	for (let nowMs = fromMs; nowMs < fromMs + forMs; nowMs += tickMs) {
 		plan.report({
-			intervalMs: tickMs, haveVersion: 0, routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', 0, object, Math.max(1, Math.round(perSecond * tickMs / 1000)), []]),
+			haveVersion: 0, routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', 0, object, Math.max(1, Math.round(perSecond * tickMs / 1000)), []]),
 		}, nowMs);
 		plan.tick(instances, new Map(), nowMs);
 		onTick();
@@ -88,7 +88,7 @@
 		for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
 			plan.hear(wordOf('b', 12, 0, 12), nowMs);
 			plan.report({
-				intervalMs: tickMs, haveVersion: 0, routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', 0, object, 4, ['a']]),
+				haveVersion: 0, routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', 0, object, 4, ['a']]),
 			}, nowMs);
 			plan.tick(nowMs < 10_000 ? instances : instances.slice(1), new Map(), nowMs);
 			expect(placed(plan).some(id => id.startsWith('b'))).toBe(false);
@@ -100,7 +100,7 @@
 		play(plan, {
 			instances: instancesOf('a', 2), objects, perSecond: 1, fromMs: 0, forMs: 1000,
 		});
-		const empty = {intervalMs: tickMs, routes: [], objects: []};
+		const empty = {routes: [], objects: []};
 		const whole = plan.report({...empty, haveVersion: 0}, 1000);
 		expect(whole.entries).toHaveLength(objects.length);
 		expect(plan.report({...empty, haveVersion: whole.version}, 1000).entries).toEqual([]);
@@ -112,7 +112,6 @@
 		const instances = instancesOf('a', 4);
 		for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
 			plan.report({
-				intervalMs: tickMs,
 				haveVersion: 0,
 				routes: [['s', '/urgent/', 50], ['s', '/slow/', 500]],
 				objects: objects.flatMap(object => [['s', '/urgent/', 0, object, 1, []], ['s', '/slow/', 2, object, 1, []]] as Array<[string, string, number, string, number, string[]]>),
--- a/src/services/ingress-service.ts
+++ b/src/services/ingress-service.ts
@@ -38,8 +38,8 @@
 const droppedFromAnswers = new Set(['content-length']);
 
 /**
- * The clients' side of published routes over HTTP/1.1. A request that takes part in the answer's framing in two ways, or
- * that is malformed, is refused by the parser before anything of it is passed on.
+ * The clients' side of published routes over HTTP/1.1. A request with two lengths or a malformed head is refused by the
+ * parser before anything of it is passed on.
  */
 export class IngressService {
 	readonly #options: IngressOptions;
--- a/src/services/planner-service.ts
+++ b/src/services/planner-service.ts
@@ -43,13 +43,11 @@
 	#reserved: ReadonlyMap<string, Reservation> = new Map();
 	#version = 0;
 	#plan: PlacementPlan | undefined;
-	#lastReportMs: number;
 	#isReporting = false;
 	#ticks = 0;
 
 	constructor(options: PlannerOptions) {
 		this.#options = options;
-		this.#lastReportMs = options.clock.nowMs();
 	}
 
 	/** Instances by object, as last heard from the planner. */
@@ -108,22 +106,22 @@
 	}
 
 	#tick(): void {
-		const {members, clock, instances} = this.#options;
+		const {members, clock, instances, logger, steering} = this.#options;
 		const isPlanner = members.isSelf(members.ownerOf('placement'));
 		if (isPlanner) {
 			const nowMs = clock.nowMs();
 			const plan = this.#planHere();
-			plan.tick(instances.open(nowMs), this.#options.steering.priorities, nowMs);
+			plan.tick(instances.open(nowMs), steering.priorities, nowMs);
 			this.#ticks++;
 			if (this.#ticks % ticksPerLog === 0) {
-				this.#options.logger.info('load of the region', plan.regionLoad());
+				logger.info('load of the region', plan.regionLoad());
 			}
 
 			if (this.#ticks % reportsPerWord === 0) {
 				void this.#tellRegions(plan.regionLoad());
 			}
 		} else if (this.#plan !== undefined) {
-			this.#options.logger.info('this host no longer plans for its region');
+			logger.info('this host no longer plans for its region');
 			this.#plan = undefined;
 		}
 
@@ -143,15 +141,12 @@
 	}
 
 	async #report(isPlanner: boolean): Promise<void> {
-		const {members, peerClient, logger, clock} = this.#options;
-		const nowMs = clock.nowMs();
+		const {members, peerClient, logger} = this.#options;
 		const report: PlacementReport = {
-			intervalMs: Math.max(1, nowMs - this.#lastReportMs),
 			haveVersion: this.#version,
 			routes: [...this.#answers.values()].map(entry => [entry.service, entry.route, Math.round(entry.shortestMs)]),
 			objects: [...this.#requests.values()].map(entry => [entry.service, entry.route, entry.priority, entry.objectKey, entry.count, [...entry.allowedRegions]]),
 		};
-		this.#lastReportMs = nowMs;
 		this.#requests.clear();
 		this.#answers.clear();
 		this.#isReporting = true;
