Read once more: one piece for what stood twice, work done once

Behaviour is meant to stay as it is. Headers of one connection are dropped once, where the request leaves, not at the ingress too; the sets for it and the connector of a pool are made once. Listeners of routes hear those in force at once, as those of the configuration do, in place of a special case in the daemon. Fields that nothing read are gone.

--- a/src/adapters/connection-pool.ts
+++ b/src/adapters/connection-pool.ts
@@ -30,11 +30,13 @@
  */
 export class ConnectionPool {
 	readonly #options: PoolOptions;
+	readonly #connect: ReturnType<typeof buildConnector>;
 	readonly #idle: Connection[] = [];
 	readonly #busy = new Set<Connection>();
 
 	constructor(options: PoolOptions) {
 		this.#options = options;
+		this.#connect = buildConnector({timeout: options.connectTimeoutMs});
 	}
 
 	/** Connections open now. */
@@ -100,15 +102,14 @@
 			return undefined;
 		}
 
-		const connect = buildConnector({timeout: this.#options.connectTimeoutMs});
 		const client = new Client(`http://${this.#options.address}`, {
 			pipelining: 1,
 			keepAliveTimeout: 600_000,
 			keepAliveMaxTimeout: 600_000,
 			headersTimeout: this.#options.exchangeLimitMs,
 			bodyTimeout: this.#options.exchangeLimitMs,
-			connect(options, callback) {
-				connect(options, (...result) => {
+			connect: (options, callback) => {
+				this.#connect(options, (...result) => {
 					result[1]?.on('error', err => {
 						// Errors of system calls only: the client ends sockets in order with errors of its own.
 						conn.isBroken ||= 'syscall' in err;
--- a/src/adapters/instance-client.ts
+++ b/src/adapters/instance-client.ts
@@ -8,6 +8,7 @@
 import {describeFailure} from './describe-failure.js';
 import {hopHeaders} from './hop-headers.js';
 import {PoolSet} from './pool-set.js';
+import {rawHeader} from './raw-header.js';
 
 type InstanceClientOptions = {
 	readonly clock: Clock;
@@ -26,16 +27,21 @@
 /** Time for opening a connection, in milliseconds; a round trip between regions takes some 110. */
 const connectTimeoutMs = 300;
 const exchangeLimitMs = 604_800_000;
-const contentLength = new Set(['content-length']);
-const nothing: ReadonlySet<string> = new Set();
+/** Request headers that are answered or set on each connection anew. */
+const droppedNames = ['expect'];
 
 /** Requests to instances over HTTP/1.1: only a whole answer of the instance to this very request counts as one. */
 export class InstanceClient {
 	readonly #options: InstanceClientOptions;
 	readonly #pools: PoolSet;
+	readonly #dropped: ReadonlySet<string>;
+	/** The length of a body that is held is stated by the connection itself. */
+	readonly #droppedWithLength: ReadonlySet<string>;
 
 	constructor(options: InstanceClientOptions) {
 		this.#options = options;
+		this.#dropped = new Set([...droppedNames, ...options.dialect.replacedHeaders]);
+		this.#droppedWithLength = new Set([...this.#dropped, 'content-length']);
 		this.#pools = new PoolSet({
 			clock: options.clock, idleLimitMs, connectTimeoutMs, exchangeLimitMs, maxConnections: options.maxConnections,
 		});
@@ -61,7 +67,7 @@
 			const res = await conn.client.request({
 				method: call.method,
 				path: call.target,
-				headers: [...hopHeaders(call.headers, call.body instanceof Uint8Array ? contentLength : nothing), ...this.#options.dialect.requestHeaders(call)],
+				headers: [...hopHeaders(call.headers, call.body instanceof Uint8Array ? this.#droppedWithLength : this.#dropped), ...this.#options.dialect.requestHeaders(call)],
 				body: call.body as Uint8Array | undefined,
 				signal: scope.signal,
 				responseHeaders: 'raw',
@@ -158,12 +164,11 @@
 }
 
 function framingOf(headers: readonly string[]): 'length' | 'chunks' | 'connection' {
-	const names = new Set(headers.filter((_, index) => index % 2 === 0).map(name => name.toLowerCase()));
-	if (names.has('transfer-encoding')) {
+	if (rawHeader(headers, 'transfer-encoding') !== undefined) {
 		return 'chunks';
 	}
 
-	return names.has('content-length') ? 'length' : 'connection';
+	return rawHeader(headers, 'content-length') === undefined ? 'connection' : 'length';
 }
 
 /** What makes an answer unfit to be passed on; `undefined` for a sound one. */
@@ -182,7 +187,7 @@
 		return `the answer with status ${status} is not signed`;
 	}
 
-	return headers.some((text, index) => index % 2 === 0 && text.toLowerCase() === 'content-encoding') ? 'the answer is encoded though nobody asked for it' : undefined;
+	return rawHeader(headers, 'content-encoding') === undefined ? undefined : 'the answer is encoded though nobody asked for it';
 }
 
 /** Reads until the end, or until more than `limit` bytes are held. */
--- a/src/contracts/instance-call.ts
+++ b/src/contracts/instance-call.ts
@@ -7,7 +7,7 @@
 	readonly method: string;
 	/** Path and query, as the client sent them. */
 	readonly target: string;
-	/** Header names and values in turn. */
+	/** Header names and values in turn, as the client sent them. */
 	readonly headers: readonly string[];
 	readonly body: Uint8Array | AsyncIterable<Uint8Array> | undefined;
 	/** Time left for the whole answer, in milliseconds. */
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -263,14 +263,16 @@
 		.add({
 			name: 'stop', requires: ['clock', 'logger', 'members', 'config', 'gateway', 'dispatch', 'home'],
 			start({get}) {
-				const {logger, members, config, gateway, dispatch, home} = {
-					logger: get('logger'), members: get('members'), config: get('config'), gateway: get('gateway'), dispatch: get('dispatch'), home: get('home'),
-				};
+				const logger = get('logger');
+				const members = get('members');
+				const gateway = get('gateway');
+				const dispatch = get('dispatch');
+				const home = get('home');
 				const stop = new StopService({
 					clock: get('clock'), logger, members, remaining: () => gateway.inFlight + dispatch.pending + home.unfinished, ...settings.stop,
 				});
 				followDrains({
-					logger, members, config, stop,
+					logger, members, config: get('config'), stop,
 				});
 				return stop;
 			},
--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -267,11 +267,21 @@
 		return total === 0 ? 0 : this.#rate(object, nowMs) * weighedMs / total / 1000;
 	}
 
+	/** Objects that need most first. */
+	#byDemand(objects: readonly PlannedObject[], nowMs: number): PlannedObject[] {
+		return objects.toSorted((a, b) => this.#demand(b, nowMs) - this.#demand(a, nowMs));
+	}
+
+	/** Instances of this region. */
+	#ownOf(instances: readonly PlanInstance[]): PlanInstance[] {
+		return instances.filter(instance => instance.region === this.#options.region);
+	}
+
 	/** Divides a service's instances: a few for the most urgent requests, so that they wait behind nothing long. */
 	#poolsOf(service: string, all: readonly PlanInstance[], routed: readonly number[], nowMs: number): Pool[] {
 		const instances = all.filter(instance => instance.service === service);
 		const objects = [...this.#objects.values()].filter(object => object.service === service);
-		const own = instances.filter(instance => instance.region === this.#options.region);
+		const own = this.#ownOf(instances);
 		const asked = objects.filter(object => this.#demand(object, nowMs) > leastDemand);
 		const isLearning = nowMs - this.#startMs < learningMs || asked.length === 0;
 		const seen = isLearning ? routed : asked.map(object => object.priority);
@@ -344,9 +354,9 @@
 	 */
 	#place(picture: PoolPicture, nowMs: number): void {
 		const homeless = picture.objects.filter(object => !picture.byId.has(object.instanceId));
-		for (const object of homeless.toSorted((a, b) => this.#demand(b, nowMs) - this.#demand(a, nowMs))) {
-			const allowed = picture.instances.filter(instance => object.allowedRegions.length === 0 || object.allowedRegions.includes(instance.region));
-			const own = allowed.filter(instance => instance.region === this.#options.region);
+		for (const object of this.#byDemand(homeless, nowMs)) {
+			const allowed = picture.instances.filter(instance => mayRunIn(object, instance.region));
+			const own = this.#ownOf(allowed);
 			const near = own.length > 0 ? own : allowed;
 			const [first] = rendezvousOrder(object.objectKey, near, instance => instance.id);
 			const least = leastBusy(picture, near);
@@ -365,7 +375,7 @@
 
 	/** Moves objects between this region and others while this one is busy, or back while it is not. */
 	#exchange(picture: PoolPicture, nowMs: number): void {
-		const own = picture.instances.filter(instance => instance.region === this.#options.region);
+		const own = this.#ownOf(picture.instances);
 		if (own.length === 0) {
 			return;
 		}
@@ -424,13 +434,13 @@
 	/** An object to take from a busy instance: the largest that has stayed there long enough. */
 	#pick(picture: PoolPicture, from: PlanInstance, nowMs: number, to: PlanInstance | undefined): PlannedObject | undefined {
 		const there = picture.objects.filter(object => object.instanceId === from.id && nowMs - object.movedMs > settleMs && this.#demand(object, nowMs) > 0
-			&& (to === undefined || object.allowedRegions.length === 0 || object.allowedRegions.includes(to.region)));
-		return there.toSorted((a, b) => this.#demand(b, nowMs) - this.#demand(a, nowMs))[0];
+			&& (to === undefined || mayRunIn(object, to.region)));
+		return this.#byDemand(there, nowMs)[0];
 	}
 
 	/** Moves objects from the busiest instance of the region to the least busy one. */
 	#level(picture: PoolPicture, nowMs: number): void {
-		const own = picture.instances.filter(instance => instance.region === this.#options.region);
+		const own = this.#ownOf(picture.instances);
 		for (let moves = 0; moves < movesPerTick && own.length > 1; moves++) {
 			const from = own.toSorted((a, b) => share(picture, b) - share(picture, a))[0]!;
 			const to = leastBusy(picture, own)!;
@@ -440,9 +450,9 @@
 			}
 
 			const room = gap * to.slots / 2;
-			const object = picture.objects
-				.filter(item => item.instanceId === from.id && nowMs - item.movedMs > settleMs && this.#demand(item, nowMs) > 0 && this.#demand(item, nowMs) <= room)
-				.toSorted((a, b) => this.#demand(b, nowMs) - this.#demand(a, nowMs))[0];
+			const fitting = picture.objects.filter(item =>
+				item.instanceId === from.id && nowMs - item.movedMs > settleMs && this.#demand(item, nowMs) > 0 && this.#demand(item, nowMs) <= room);
+			const [object] = this.#byDemand(fitting, nowMs);
 			if (object === undefined) {
 				return;
 			}
@@ -467,7 +477,7 @@
 
 	/** Notes what other regions may use here, and what this region uses there. */
 	#account(picture: PoolPicture, nowMs: number): void {
-		const own = picture.instances.filter(instance => instance.region === this.#options.region);
+		const own = this.#ownOf(picture.instances);
 		const slots = own.reduce((sum, instance) => sum + instance.slots, 0);
 		for (const object of picture.objects) {
 			const instance = picture.byId.get(object.instanceId);
@@ -498,6 +508,10 @@
 	}
 }
 
+function mayRunIn(object: PlannedObject, region: string): boolean {
+	return object.allowedRegions.length === 0 || object.allowedRegions.includes(region);
+}
+
 function decay(object: PlannedObject, nowMs: number): void {
 	const factor = Math.exp(-(nowMs - object.updatedMs) / memoryMs);
 	for (const [route, count] of object.counts) {
--- a/src/services/gateway-service.ts
+++ b/src/services/gateway-service.ts
@@ -1,8 +1,9 @@
-import {createHash, randomUUID} from 'node:crypto';
+import {randomUUID} from 'node:crypto';
 import {type Clock} from '../contracts/clock.js';
 import {type Outcome} from '../contracts/outcome.js';
 import {type Work} from '../contracts/work.js';
 import {type ConfigService} from './config-service.js';
+import {fingerprintOf} from './fingerprint-of.js';
 import {type HomeService} from './home-service.js';
 import {type Job} from './job.js';
 import {type MembersService} from './members-service.js';
@@ -145,10 +146,6 @@
 	}
 
 	#toWork(req: CallerRequest, className: string, key: string | undefined, remainingMs: number): Work {
-		const fingerprint = createHash('sha256')
-			.update(`${req.service}\n${req.method}\n${req.path}\n`)
-			.update(req.body)
-			.digest('base64url');
 		return {
 			requestId: randomUUID(),
 			service: req.service,
@@ -161,7 +158,7 @@
 			traceparent: req.traceparent,
 			region: this.#options.members.membership.self.region,
 			caller: req.caller,
-			fingerprint,
+			fingerprint: fingerprintOf(req),
 		};
 	}
 }
--- a/src/services/http-service.ts
+++ b/src/services/http-service.ts
@@ -2,6 +2,7 @@
 import {createAdaptorServer} from '@hono/node-server';
 import {type Hono} from 'hono';
 import {type Lifecycle} from '../kernel/lifecycle.js';
+import {listenAt} from './listen-at.js';
 
 type HttpServiceOptions = {
 	/** IPv4 number and port. */
@@ -17,17 +18,13 @@
 
 /** Serves a Hono application at an address until the life cycle closes; requests in flight are answered first. */
 export async function serveHttp(app: Hono, options: HttpServiceOptions, lifecycle: Lifecycle): Promise<void> {
-	const [hostname, port] = options.address.split(':');
 	const server = createAdaptorServer({
 		fetch: app.fetch,
 		serverOptions: {
 			maxHeaderSize: maxHeaderBytes, requestTimeout: options.receiveTimeoutMs, headersTimeout: options.receiveTimeoutMs, keepAliveTimeout: keepAliveMs,
 		},
 	}) as Server;
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(Number(port), hostname, resolve);
-	});
+	await listenAt(server, options.address);
 	lifecycle.own(`http ${options.address}`, async () => {
 		const closed = new Promise<void>(resolve => {
 			server.close(() => {
--- a/src/services/ingress-service.ts
+++ b/src/services/ingress-service.ts
@@ -3,11 +3,13 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {hopHeaders} from '../adapters/hop-headers.js';
+import {rawHeader} from '../adapters/raw-header.js';
 import {type Clock} from '../contracts/clock.js';
 import {type HttpDialect} from '../contracts/http-dialect.js';
 import {type RouteTable} from '../contracts/route-table.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
 import {departureSignal} from './departure-signal.js';
+import {listenAt} from './listen-at.js';
 import {type Logger} from './logger.js';
 import {type ProxyOutcome} from './proxy-outcome.js';
 import {type ProxyRequest} from './proxy-request.js';
@@ -30,11 +32,12 @@
 const maxParsedHeaderBytes = 65_536;
 /** Interval at which connections are checked for heads that take too long, in milliseconds. */
 const checkIntervalMs = 1000;
+/** Connections that wait to be accepted. */
+const maxWaitingConnections = 1024;
 /** Limits until the first configuration arrives. */
 const initialLimits: Limits = {
 	maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 5000, idleTimeoutMs: 15_000,
 };
-const droppedFromRequests = new Set(['expect']);
 const droppedFromAnswers = new Set(['content-length']);
 
 /**
@@ -59,11 +62,7 @@
 
 	/** Opens the address. */
 	async start(lifecycle: Lifecycle): Promise<void> {
-		const [hostname, port] = this.#options.address.split(':');
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen({port: Number(port), host: hostname, backlog: 1024}, resolve);
-		});
+		await listenAt(this.#server, this.#options.address, maxWaitingConnections);
 		lifecycle.own('ingress', () => {
 			this.#server.close();
 			this.#server.closeAllConnections();
@@ -108,7 +107,7 @@
 				method: req.method!,
 				host: req.headers.host ?? '',
 				target: req.url!,
-				headers: hopHeaders(req.rawHeaders, new Set([...droppedFromRequests, ...dialect.replacedHeaders])),
+				headers: req.rawHeaders,
 				arrivedMs,
 				readBody: async maxBytes => this.#readBody(req, maxBytes),
 				departure,
@@ -219,7 +218,7 @@
 
 	#end(req: IncomingMessage, res: ServerResponse, {status, headers, body}: PlainAnswer): void {
 		this.#prepare(req, res);
-		const length = body === undefined && hasLength(headers) ? [] : ['Content-Length', String(body?.byteLength ?? 0)];
+		const length = body === undefined && rawHeader(headers, 'content-length') !== undefined ? [] : ['Content-Length', String(body?.byteLength ?? 0)];
 		res.writeHead(status, status === 204 || status === 304 ? [...headers] : [...headers, ...length]);
 		res.end(body);
 	}
@@ -259,14 +258,10 @@
 	}
 }
 
-function hasLength(headers: readonly string[]): boolean {
-	return headers.some((text, index) => index % 2 === 0 && text.toLowerCase() === 'content-length');
-}
-
 /** Adds the length that the instance stated, where it stated one. */
 function withLength(headers: readonly string[], stated: readonly string[]): string[] {
-	const index = stated.findIndex((text, position) => position % 2 === 0 && text.toLowerCase() === 'content-length');
-	return index === -1 ? [...headers] : [...headers, 'Content-Length', stated[index + 1]!];
+	const length = rawHeader(stated, 'content-length');
+	return length === undefined ? [...headers] : [...headers, 'Content-Length', length];
 }
 
 function statusOf(reason: Extract<ProxyOutcome, {kind: 'invalid'}>['reason']): number {
--- a/src/services/proxy-request.ts
+++ b/src/services/proxy-request.ts
@@ -6,7 +6,7 @@
 	readonly host: string;
 	/** Path and query, as the client sent them. */
 	readonly target: string;
-	/** Header names and values in turn. */
+	/** Header names and values in turn, as the client sent them. */
 	readonly headers: readonly string[];
 	/** Moment at which the request's head was read, in monotonic milliseconds. */
 	readonly arrivedMs: number;
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -1,4 +1,3 @@
-import {createHash} from 'node:crypto';
 import {type InstanceClient} from '../adapters/instance-client.js';
 import {type Clock} from '../contracts/clock.js';
 import {type InstanceResult} from '../contracts/instance-result.js';
@@ -7,6 +6,7 @@
 import {type Placement} from '../decisions/placement.js';
 import {type RetryShare} from '../decisions/retry-share.js';
 import {SendPlan} from '../decisions/send-plan.js';
+import {fingerprintOf} from './fingerprint-of.js';
 import {type Logger} from './logger.js';
 import {type Metrics} from './metrics.js';
 import {type PlannerService} from './planner-service.js';
@@ -21,7 +21,6 @@
 	readonly metrics: Metrics;
 	readonly steering: SteeringService;
 	readonly placement: Placement;
-	readonly instances: InstanceTable;
 	readonly client: InstanceClient;
 	readonly retries: RetryShare;
 	readonly quarantine: QuarantineService;
@@ -118,7 +117,9 @@
 			return {kind: 'invalid', reason: 'broken_off'};
 		}
 
-		const fingerprint = fingerprintOf(service, req, body);
+		const fingerprint = fingerprintOf({
+			service, method: req.method, path: req.target, body: body.kind === 'whole' ? body.bytes : undefined,
+		});
 		if (quarantine.isBlocked(fingerprint)) {
 			return {kind: 'not_run', reason: 'quarantined', retryAfterMs: quarantineRetryMs};
 		}
@@ -170,7 +171,7 @@
 			last = await this.#send(passage, entry);
 			if (last.kind === 'whole' || last.kind === 'partial') {
 				plan.ended('answered');
-				return {kind: 'answer', result: last, instanceId: entry.instance.id};
+				return {kind: 'answer', result: last};
 			}
 
 			if (!plan.ended(toSendResult(last)) || passage.body.kind === 'stream') {
@@ -247,11 +248,6 @@
 	}
 }
 
-function fingerprintOf(service: string, req: ProxyRequest, body: SentBody): string {
-	const hash = createHash('sha256').update(`${service}\n${req.method}\n${req.target}\n`);
-	return (body.kind === 'whole' ? hash.update(body.bytes) : hash).digest('base64url');
-}
-
 function toSent(body: SentBody): Uint8Array | AsyncIterable<Uint8Array> | undefined {
 	switch (body.kind) {
 		case 'whole': {
--- a/src/services/steering-service.ts
+++ b/src/services/steering-service.ts
@@ -68,6 +68,9 @@
 	/** Calls back with each set of routes that comes into force. */
 	onRoutes(listener: (table: RouteTable) => void): void {
 		this.#listeners.push(listener);
+		if (this.#table !== undefined) {
+			listener(this.#table);
+		}
 	}
 
 	match(host: string, path: string): Route | undefined {
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -241,7 +241,6 @@
 					logger: get('logger'),
 					metrics: get('metrics'),
 					steering: get('steering'),
-					instances: get('instances'),
 					placement,
 					client: get('instanceClient'),
 					retries: new RetryShare({ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.retryWindowMs}),
@@ -259,14 +258,9 @@
 				const ingress = new IngressService({
 					address: settings.listen.clients, clock: get('clock'), logger: get('logger'), dialect: platform.dialect, proxy: get('proxy'),
 				});
-				const steering = get('steering');
-				steering.onRoutes(({limits}) => {
+				get('steering').onRoutes(({limits}) => {
 					ingress.setLimits(limits);
 				});
-				if (steering.routes !== undefined) {
-					ingress.setLimits(steering.routes.limits);
-				}
-
 				await ingress.start(lifecycle);
 				return ingress;
 			},
