Members end quietly; the test of a leaving caller waits for its upstream

Cause: two failures of the test run. (1) A watch of the store that came back while a daemon was ending called run() of the members, whose socket was closed: 'Not running' as an unhandled rejection. (2) The test of a caller who left read the upstream's count of cancelled work as soon as the dispatcher's slot was free; the close of the connection reaches the upstream a moment later. Change: run() does nothing after the service's end; the test waits for the upstream's count, and still expects exactly one.

--- /dev/null
+++ b/src/services/members-service.test.ts
@@ -0,0 +1,46 @@
+import {
+	describe, expect, it,
+} from 'vitest';
+import {loopback} from '../../test/loopback.js';
+import {monotonicClock} from '../adapters/monotonic-clock.js';
+import {Membership} from '../decisions/membership.js';
+import {SeededRandom} from '../decisions/seeded-random.js';
+import {Lifecycle} from '../kernel/lifecycle.js';
+import {Logger} from './logger.js';
+import {MembersService} from './members-service.js';
+import {Metrics} from './metrics.js';
+import {PeerClient} from './peer-client.js';
+
+const memberAt = (id: string, address: string) => ({
+	id, region: 'dsm', zone: 'dsm-a', boot: 'b1', callers: `${address}:7000`, peers: `${address}:7001`,
+});
+
+describe('members service', () => {
+	it('takes in what comes back after its end without sending anything', async () => {
+		const membership = new Membership({
+			periodMs: 500, probeTimeoutMs: 250, suspicionPeriods: 3, pauseLimitMs: 2000,
+		}, memberAt('edge-1', loopback()), new SeededRandom(1));
+		const metrics = new Metrics();
+		const members = new MembersService({
+			membership,
+			clock: monotonicClock,
+			logger: new Logger('error', {}),
+			metrics,
+			hostList: {fetch: async () => ({success: true, data: []})},
+			peerClient: new PeerClient(monotonicClock, 1000),
+			tickMs: 100,
+			hostListPollMs: 1000,
+		});
+		const lifecycle = new Lifecycle();
+		await members.start(lifecycle);
+		members.exchange([{
+			member: memberAt('edge-2', loopback()), incarnation: 0, status: 'alive', isLeaving: false,
+		}]);
+		await lifecycle.close();
+		const sentBefore = metrics.render();
+		const news = membership.setRevision(7);
+		expect(news.some(effect => effect.kind === 'send')).toBe(true);
+		members.run(news);
+		expect(metrics.render()).toBe(sentBefore);
+	});
+});
--- a/src/services/members-service.ts
+++ b/src/services/members-service.ts
@@ -44,6 +44,7 @@
 	readonly #owners = new Map<string, Member>();
 	#listed: ReadonlySet<string> = new Set();
 	#polls = 0;
+	#isClosed = false;
 
 	constructor(options: MembersOptions) {
 		this.#options = options;
@@ -64,6 +65,7 @@
 			this.#receive(data);
 		});
 		lifecycle.own('gossip socket', () => {
+			this.#isClosed = true;
 			this.#socket.close();
 		});
 		await this.#readHostList();
@@ -130,8 +132,12 @@
 		return this.membership.updates();
 	}
 
-	/** Carries out what the membership decided. */
+	/** Carries out what the membership decided; nothing once this service has ended, as calls under way still come back. */
 	run(effects: Effects): void {
+		if (this.#isClosed) {
+			return;
+		}
+
 		let isChanged = false;
 		for (const effect of effects) {
 			switch (effect.kind) {
--- a/test/caller-interface.test.ts
+++ b/test/caller-interface.test.ts
@@ -169,7 +169,9 @@
 			controller.abort();
 			await expect(sending).rejects.toThrow();
 			await system.until('its slot is free', () => system.hosts.every(host => host.kernel.get('dispatch').pending === 0));
-			expect(system.upstreams.reduce((sum, item) => sum + item.standIn.counts.cancelled, 0)).toBe(1);
+			const cancelled = () => system.upstreams.reduce((sum, item) => sum + item.standIn.counts.cancelled, 0);
+			await system.until('its upstream saw the connection close', () => cancelled() > 0);
+			expect(cancelled()).toBe(1);
 		});
 	});
 
