--- a/src/contracts/placement-report.ts
+++ b/src/contracts/placement-report.ts
@@ -2,8 +2,6 @@
 
 /** What one host saw since its last report: which objects were asked for, and how long unqueued answers took. */
 export const PlacementReport = z.object({
-	/** Availability zone of the host. */
-	zone: z.string().max(63),
 	/** Version of the assignments that the host has. */
 	haveVersion: z.int().min(0),
 	/** Service, route, and the shortest time of an answer that did not wait at its instance, in milliseconds. */
--- a/src/decisions/instance-table.ts
+++ b/src/decisions/instance-table.ts
@@ -78,11 +78,11 @@
 	}
 
 	/** Instances of all services that take work at their usual speed. */
-	open(nowMs: number): Array<{readonly id: string; readonly service: string; readonly region: string; readonly zone: string; readonly slots: number}> {
+	open(nowMs: number): Array<{readonly id: string; readonly service: string; readonly region: string; readonly slots: number}> {
 		return [...this.#entries.values()]
 			.filter(entry => !entry.instance.isDraining && !this.#evacuated.has(entry.instance.zone) && !this.isCold(entry, nowMs) && entry.health.state(nowMs) === 'open')
 			.map(({instance, region}) => ({
-				id: instance.id, service: instance.service, region, zone: instance.zone, slots: instance.slots,
+				id: instance.id, service: instance.service, region, slots: instance.slots,
 			}));
 	}
 
--- a/src/decisions/placement-plan.test.ts
+++ b/src/decisions/placement-plan.test.ts
@@ -11,7 +11,7 @@
 	const {instances, objects, perSecond, fromMs, forMs} = options;
 	for (let nowMs = fromMs; nowMs < fromMs + forMs; nowMs += tickMs) {
 		plan.report({
-			zone: 'a-1', haveVersion: 0, routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', 0, object, Math.max(1, Math.round(perSecond * tickMs / 1000)), []]),
+			haveVersion: 0, routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', 0, object, Math.max(1, Math.round(perSecond * tickMs / 1000)), []]),
 		}, nowMs);
 		plan.tick({instances, priorities: new Map(), hosts: new Map()}, nowMs);
 		onTick();
@@ -19,16 +19,14 @@
 }
 
 const instancesOf = (region: string, count: number): Instances => Array.from({length: count}, (_, index) => ({
-	id: `${region}${index}`, service: 's', region, zone: `${region}-1`, slots: 3,
+	id: `${region}${index}`, service: 's', region, slots: 3,
 }));
 const objects = Array.from({length: 24}, (_, index) => `k${index}`);
-const placed = (plan: PlacementPlan) => objects.map(object => plan.instanceOf(objectId('s', 0, 'a-1', object)));
+const placed = (plan: PlacementPlan) => objects.map(object => plan.instanceOf(objectId('s', 0, object)));
 const wordOf = (region: string, slots: number, busy: number, offered: number) => ({
 	region, pools: [['s|rest', slots, busy] as [string, number, number]], reserved: [], offers: [['s|rest', 'a', offered] as [string, string, number]], uses: [], times: [],
 });
 
-const countChanges = (before: readonly string[], after: readonly string[]) => after.filter((id, index) => id !== before[index]).length;
-
 describe('placement plan', () => {
 	it('gives every object an instance, and keeps it there while the load is steady and light', () => {
 		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
@@ -43,7 +41,7 @@
 	});
 
 	it('levels instances that are busy beyond the margin', () => {
-		const plan = new PlacementPlan({region: 'a'}, 1, new Map(objects.map(object => [objectId('s', 0, 'a-1', object), 'a0'])), 0);
+		const plan = new PlacementPlan({region: 'a'}, 1, new Map(objects.map(object => [objectId('s', 0, object), 'a0'])), 0);
 		play(plan, {
 			instances: instancesOf('a', 4), objects, perSecond: 4, fromMs: 0, forMs: 60_000,
 		});
@@ -80,9 +78,7 @@
 		const hosts = new Map([['a', 4], ['b', 4]]);
 		const plans = ['a', 'b'].map(region => new PlacementPlan({region}, 1, new Map(), 0));
 		for (const plan of plans) {
-			plan.report({
-				zone: 'a-1', haveVersion: 0, routes: [], objects: objects.map(object => ['s', '/r/', 0, object, 1, []]),
-			}, 0);
+			plan.report({haveVersion: 0, routes: [], objects: objects.map(object => ['s', '/r/', 0, object, 1, []])}, 0);
 			plan.tick({instances, priorities: new Map(), hosts}, 0);
 		}
 
@@ -93,64 +89,6 @@
 		expect(away.filter(([id, other]) => id === other).length).toBeGreaterThan(away.length * 2 / 3);
 	});
 
-	describe('zones of a region', () => {
-		const instances: Instances = [1, 2].flatMap(zone => Array.from({length: 2}, (_, index) => ({
-			id: `i${zone}${index}`, service: 's', region: 'a', zone: `a-${zone}`, slots: 3,
-		})));
-		const zones = ['a-1', 'a-2'];
-		const few = objects.slice(0, 8);
-		const placedFrom = (plan: PlacementPlan, zone: string, asked = few) => asked.map(object => plan.instanceOf(objectId('s', 0, zone, object)));
-		const localShares = (plan: PlacementPlan, asked = few) => zones.map(zone => placedFrom(plan, zone, asked).filter(id => id.startsWith(`i${zone.at(-1)!}`)).length / asked.length);
-
-		function playZones(plan: PlacementPlan, options: {readonly asked: readonly string[]; readonly fromMs: number; readonly forMs: number}): void {
-			for (let nowMs = options.fromMs; nowMs < options.fromMs + options.forMs; nowMs += tickMs) {
-				for (const zone of zones) {
-					plan.report({
-						zone, haveVersion: 0, routes: [['s', '/r/', 100]], objects: options.asked.map(object => ['s', '/r/', 0, object, 1, []]),
-					}, nowMs);
-				}
-
-				plan.tick({instances, priorities: new Map(), hosts: new Map()}, nowMs);
-			}
-		}
-
-		it('share an object\'s first instance, so that it becomes warm once', () => {
-			const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
-			playZones(plan, {asked: few, fromMs: 0, forMs: 2000});
-			expect(placedFrom(plan, 'a-1')).toEqual(placedFrom(plan, 'a-2'));
-		});
-
-		it('get instances of their own later, a few objects at a time', () => {
-			const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
-			playZones(plan, {asked: few, fromMs: 0, forMs: 4000});
-			let before = placedFrom(plan, 'a-1');
-			for (let fromMs = 4000; fromMs < 30_000; fromMs += 1000) {
-				playZones(plan, {asked: few, fromMs, forMs: 1000});
-				const after = placedFrom(plan, 'a-1');
-				expect(countChanges(before, after)).toBeLessThanOrEqual(2);
-				before = after;
-			}
-
-			expect(localShares(plan)).toEqual([1, 1]);
-		});
-
-		it('go on sharing while the instances are busy', () => {
-			const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
-			playZones(plan, {asked: objects, fromMs: 0, forMs: 30_000});
-			expect(Math.min(...localShares(plan, objects))).toBeLessThan(0.9);
-		});
-
-		it('send an object to where another zone keeps it when its instance is lost', () => {
-			const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
-			playZones(plan, {asked: few, fromMs: 0, forMs: 30_000});
-			const before = zones.map(zone => placedFrom(plan, zone));
-			plan.tick({instances: instances.filter(instance => instance.id !== 'i10'), priorities: new Map(), hosts: new Map()}, 30_000);
-			const moved = placedFrom(plan, 'a-1').map((id, index) => ({id, from: before[0]![index], twin: before[1]![index]})).filter(({id, from}) => id !== from);
-			expect(moved.length).toBeGreaterThan(0);
-			expect(moved.filter(({id, twin}) => id === twin).length).toBeGreaterThan(moved.length / 2);
-		});
-	});
-
 	it('sends nothing to a region that has fallen silent', () => {
 		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
 		plan.hear(wordOf('b', 12, 0, 6), 0);
@@ -166,7 +104,7 @@
 		for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
 			plan.hear(wordOf('b', 12, 0, 12), nowMs);
 			plan.report({
-				zone: 'a-1', haveVersion: 0, routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', 0, object, 4, ['a']]),
+				haveVersion: 0, routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', 0, object, 4, ['a']]),
 			}, nowMs);
 			plan.tick({instances: nowMs < 10_000 ? instances : instances.slice(1), priorities: new Map(), hosts: new Map()}, nowMs);
 			expect(placed(plan).some(id => id.startsWith('b'))).toBe(false);
@@ -178,7 +116,7 @@
 		play(plan, {
 			instances: instancesOf('a', 2), objects, perSecond: 1, fromMs: 0, forMs: 1000,
 		});
-		const empty = {zone: 'a-1', routes: [], objects: []};
+		const empty = {routes: [], objects: []};
 		const whole = plan.report({...empty, haveVersion: 0}, 1000);
 		expect(whole.entries).toHaveLength(objects.length);
 		expect(plan.report({...empty, haveVersion: whole.version}, 1000).entries).toEqual([]);
@@ -190,7 +128,6 @@
 		const instances = instancesOf('a', 4);
 		for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
 			plan.report({
-				zone: 'a-1',
 				haveVersion: 0,
 				routes: [['s', '/urgent/', 50], ['s', '/slow/', 500]],
 				objects: objects.flatMap(object => [['s', '/urgent/', 0, object, 1, []], ['s', '/slow/', 2, object, 1, []]] as Array<[string, string, number, string, number, string[]]>),
@@ -198,8 +135,8 @@
 			plan.tick({instances, priorities: new Map(), hosts: new Map()}, nowMs);
 		}
 
-		const urgent = new Set(objects.map(object => plan.instanceOf(objectId('s', 0, 'a-1', object))));
-		const slow = new Set(objects.map(object => plan.instanceOf(objectId('s', 2, 'a-1', object))));
+		const urgent = new Set(objects.map(object => plan.instanceOf(objectId('s', 0, object))));
+		const slow = new Set(objects.map(object => plan.instanceOf(objectId('s', 2, object))));
 		expect([...urgent].filter(id => slow.has(id))).toEqual([]);
 		expect(new Set(plan.regionLoad().reserved)).toEqual(urgent);
 	});
--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -7,15 +7,13 @@
 import {startRegion} from './start-region.js';
 
 /** An instance that takes work. */
-type PlanInstance = {readonly id: string; readonly service: string; readonly region: string; readonly zone: string; readonly slots: number};
+type PlanInstance = {readonly id: string; readonly service: string; readonly region: string; readonly slots: number};
 
 type PlannedObject = {
 	readonly id: string;
 	readonly service: string;
 	/** 0 is the most urgent. */
 	readonly priority: number;
-	/** Availability zone in which the requests enter. */
-	readonly zone: string;
 	readonly objectKey: string;
 	allowedRegions: readonly string[];
 	/** Requests by route, decaying with the memory's time constant. */
@@ -28,8 +26,6 @@
 	movedMs: number;
 };
 
-type Subject = Pick<PlannedObject, 'service' | 'priority' | 'zone' | 'objectKey'>;
-
 /** Priorities of the routes with affinity to each service, most urgent first. */
 type Priorities = ReadonlyMap<string, readonly number[]>;
 
@@ -102,12 +98,6 @@
 /** Busy share of the region above which objects leave it, and below which they come back. */
 const leaveShare = 0.6;
 const returnShare = 0.4;
-/** Busy share of an instance up to which it takes objects for the sake of their zone. */
-const localShare = 0.55;
-/** Objects that move into their own zone in a second, for each slot of the region: each costs a run that is not warm. */
-const localMovesPerSlotSecond = 0.15;
-/** Age of an object before it moves for the sake of its zone, in milliseconds: its first runs share one instance. */
-const localAfterMs = 4000;
 /** Share of the region's slots that are offered to other regions when they are free. */
 const offeredShare = 0.8;
 /** Share of the region's work that may change its region in a second; with what may change at once, below the usual 0.15 in two. */
@@ -128,10 +118,6 @@
 	readonly #routeMs = new Map<string, number>();
 	readonly #regions = new Map<string, Word>();
 	readonly #withdrawn = new Map<string, number>();
-	/** Zones in which requests enter. */
-	readonly #zones = new Set<string>();
-	/** Moves into the own zone that are due, by pool. */
-	readonly #localCredit = new Map<string, number>();
 	#version: number;
 	readonly #startMs: number;
 	#lastTickMs: number | undefined;
@@ -151,10 +137,8 @@
 		this.#version = version;
 		this.#startMs = nowMs;
 		for (const [id, instanceId] of known) {
-			const [service, priority, zone, ...rest] = id.split('|');
-			this.#add({
-				service: service!, priority: Number(priority), zone: zone!, objectKey: rest.join('|'),
-			}, nowMs).instanceId = instanceId;
+			const [service, priority, ...rest] = id.split('|');
+			this.#add(service!, Number(priority), rest.join('|'), nowMs).instanceId = instanceId;
 		}
 	}
 
@@ -165,10 +149,7 @@
 		}
 
 		for (const [service, route, priority, objectKey, requests, allowedRegions] of report.objects) {
-			const subject = {
-				service, priority, zone: report.zone, objectKey,
-			};
-			const object = this.#objects.get(objectId(service, priority, report.zone, objectKey)) ?? this.#add(subject, nowMs);
+			const object = this.#objects.get(objectId(service, priority, objectKey)) ?? this.#add(service, priority, objectKey, nowMs);
 			decay(object, nowMs);
 			const key = `${service}|${route}`;
 			object.counts.set(key, (object.counts.get(key) ?? 0) + requests);
@@ -222,7 +203,6 @@
 			if (nowMs - this.#startMs >= learningMs) {
 				this.#exchange(picture, nowMs);
 				this.#level(picture, nowMs);
-				this.#localise(picture, elapsedMs, nowMs);
 			}
 
 			this.#account(picture, nowMs);
@@ -234,13 +214,12 @@
 		return this.#objects.get(id)?.instanceId ?? '';
 	}
 
-	#add({service, priority, zone, objectKey}: Subject, nowMs: number): PlannedObject {
-		const id = objectId(service, priority, zone, objectKey);
+	#add(service: string, priority: number, objectKey: string, nowMs: number): PlannedObject {
+		const id = objectId(service, priority, objectKey);
 		const object: PlannedObject = {
 			id,
 			service,
 			priority,
-			zone,
 			objectKey,
 			allowedRegions: [],
 			counts: new Map(),
@@ -251,7 +230,6 @@
 			movedMs: Number.NEGATIVE_INFINITY,
 		};
 		this.#objects.set(id, object);
-		this.#zones.add(zone);
 		this.#withdrawn.delete(id);
 		return object;
 	}
@@ -400,9 +378,8 @@
 				continue;
 			}
 
-			const warm = this.#twinInstance(picture, object);
-			const preferred = warm !== undefined && mayRunIn(object, warm.region) ? warm : first;
-			const here = share(picture, preferred) <= share(picture, least) + marginShare ? preferred : least;
+			const isFirstFine = share(picture, first) <= share(picture, least) + marginShare;
+			const here = isFirstFine ? first : least;
 			const away = this.#foreignTarget(picture, object, nowMs);
 			const mayLeave = object.instanceId !== '' && !this.#present.has(object.instanceId) && away !== undefined && allowed.includes(away) && share(picture, here) > busyShare;
 			const isAwayBetter = mayLeave && share(picture, away) + marginShare < share(picture, here);
@@ -410,19 +387,6 @@
 		}
 	}
 
-	/** An instance that serves the same object to the requests of another zone, and so is warm. */
-	#twinInstance(picture: PoolPicture, object: PlannedObject): PlanInstance | undefined {
-		for (const zone of this.#zones) {
-			const twin = zone === object.zone ? undefined : this.#objects.get(objectId(object.service, object.priority, zone, object.objectKey));
-			const instance = twin === undefined ? undefined : picture.byId.get(twin.instanceId);
-			if (instance !== undefined) {
-				return instance;
-			}
-		}
-
-		return undefined;
-	}
-
 	/** Moves objects between this region and others while this one is busy, or back while it is not. */
 	#exchange(picture: PoolPicture, nowMs: number): void {
 		const own = this.#ownOf(picture.instances);
@@ -483,11 +447,7 @@
 		});
 		const least = leastBusy(picture, open);
 		const [first] = rendezvousOrder(object.objectKey, open.filter(instance => instance.region === least?.region), instance => instance.id);
-		if (first === undefined || least === undefined) {
-			return undefined;
-		}
-
-		return share(picture, first) <= share(picture, least) + marginShare ? first : least;
+		return first !== undefined && share(picture, first) <= share(picture, least!) + marginShare ? first : least;
 	}
 
 	/** An object to take from a busy instance to another region: the largest that has stayed there long enough. */
@@ -498,59 +458,27 @@
 		return this.#byDemand(there, nowMs)[0];
 	}
 
-	/** Moves objects from the busiest instance of the region to less busy ones: where they are warm, or in their zone, or the least busy. */
+	/** Moves objects from the busiest instance of the region to the least busy one. */
 	#level(picture: PoolPicture, nowMs: number): void {
 		const own = this.#ownOf(picture.instances);
 		for (let moves = 0; moves < movesPerTick && own.length > 1; moves++) {
 			const from = own.toSorted((a, b) => share(picture, b) - share(picture, a))[0]!;
-			const least = leastBusy(picture, own)!;
-			const gapTo = (to: PlanInstance) => share(picture, from) - share(picture, to);
-			if (share(picture, from) < busyShare || gapTo(least) < marginShare) {
+			const to = leastBusy(picture, own)!;
+			const gap = share(picture, from) - share(picture, to);
+			if (share(picture, from) < busyShare || gap < marginShare) {
 				return;
 			}
 
-			const roomAt = (to: PlanInstance) => gapTo(to) * to.slots / 2;
+			const room = gap * to.slots / 2;
 			const fitting = picture.objects.filter(item =>
-				item.instanceId === from.id && nowMs - item.movedMs > settleMs && this.#demand(item, nowMs) > 0 && this.#demand(item, nowMs) <= roomAt(least));
+				item.instanceId === from.id && nowMs - item.movedMs > settleMs && this.#demand(item, nowMs) > 0 && this.#demand(item, nowMs) <= room);
 			const [object] = this.#byDemand(fitting, nowMs);
 			if (object === undefined) {
 				return;
 			}
 
-			const targets = [this.#twinInstance(picture, object), leastBusy(picture, own.filter(instance => instance.zone === object.zone))];
-			const better = targets.find(to => to?.region === this.#options.region && gapTo(to) >= marginShare && this.#demand(object, nowMs) <= roomAt(to));
-			this.#move(picture, object, better ?? least, nowMs);
-		}
-	}
-
-	/**
-	 * Moves objects to instances in the zone where their requests enter, as long as those are not busy: what is sent stays in
-	 * the zone then. A few at a time, since each runs without warmth at first.
-	 */
-	#localise(picture: PoolPicture, elapsedMs: number, nowMs: number): void {
-		const own = this.#ownOf(picture.instances);
-		const slots = own.reduce((sum, instance) => sum + instance.slots, 0);
-		let credit = Math.min(1, this.#localCredit.get(picture.name) ?? 0) + (slots * localMovesPerSlotSecond * elapsedMs / 1000);
-		const remote = picture.objects.filter(object => {
-			const instance = picture.byId.get(object.instanceId);
-			return instance?.region === this.#options.region && instance.zone !== object.zone && nowMs - object.movedMs > settleMs && nowMs - object.sinceMs > localAfterMs;
-		});
-		for (const object of this.#byDemand(remote, nowMs)) {
-			if (credit < 1) {
-				break;
-			}
-
-			const near = own.filter(instance => instance.zone === object.zone);
-			const least = leastBusy(picture, near);
-			const [first] = rendezvousOrder(object.objectKey, near, instance => instance.id);
-			const to = [first, least].find(instance => instance !== undefined && share(picture, instance) + (this.#demand(object, nowMs) / instance.slots) <= localShare);
-			if (to !== undefined) {
-				credit--;
-				this.#move(picture, object, to, nowMs);
-			}
+			this.#move(picture, object, to, nowMs);
 		}
-
-		this.#localCredit.set(picture.name, credit);
 	}
 
 	#move(picture: PoolPicture, object: PlannedObject, to: PlanInstance, nowMs: number): void {
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -14,8 +14,6 @@
 	readonly random: SeededRandom;
 	/** Region of this host. */
 	readonly region: string;
-	/** Availability zone of this host. */
-	readonly zone: string;
 	/** Hosts by region. */
 	readonly hostsByRegion: () => ReadonlyMap<string, number>;
 	/** Whether this host acts for a cold instance. */
@@ -57,7 +55,7 @@
 	choose(req: PlacementRequest, nowMs: number): Candidate | undefined {
 		const allowed = this.#options.table.serving(req.service).filter(entry =>
 			!req.avoid.has(entry.instance.id) && (req.allowedRegions.length === 0 || req.allowedRegions.includes(entry.region)));
-		const assigned = req.objectKey === undefined ? undefined : this.#options.assignments.get(objectId(req.service, req.priority, this.#options.zone, req.objectKey));
+		const assigned = req.objectKey === undefined ? undefined : this.#options.assignments.get(objectId(req.service, req.priority, req.objectKey));
 		const planned = allowed.find(entry => entry.instance.id === assigned);
 		if (planned !== undefined && this.#mayUse(planned, req, nowMs)) {
 			return planned;
--- a/src/decisions/sending.test.ts
+++ b/src/decisions/sending.test.ts
@@ -168,15 +168,7 @@
 	function setUp(assignments = new Map<string, string>(), isSponsor = false, hosts = new Map<string, number>()) {
 		const table = new InstanceTable({regionOf});
 		const placement = new Placement({
-			table,
-			cold: new ColdAllowance(),
-			random: new SeededRandom(1),
-			region: 'a',
-			zone: 'a-1',
-			hostsByRegion: () => hosts,
-			isSponsor: () => isSponsor,
-			assignments,
-			reservationOf: () => undefined,
+			table, cold: new ColdAllowance(), random: new SeededRandom(1), region: 'a', hostsByRegion: () => hosts, isSponsor: () => isSponsor, assignments, reservationOf: () => undefined,
 		});
 		const choose = (objectKey: string | undefined, fields: Partial<Parameters<Placement['choose']>[0]> = {}, nowMs = 0) => placement.choose({
 			service: 's', objectKey, priority: 0, isRepeatable: true, allowedRegions: [], avoid: new Set(), coldPerSecond: 12, ...fields,
@@ -202,7 +194,7 @@
 	});
 
 	it('follows the planner while its instance takes work', () => {
-		const {table, choose} = setUp(new Map([[objectId('s', 0, 'a-1', 'k'), 'far']]));
+		const {table, choose} = setUp(new Map([[objectId('s', 0, 'k'), 'far']]));
 		table.write(instance('near'), 0);
 		table.write(instance('far', {zone: 'b-1'}), 0);
 		expect(choose('k')).toBe('far');
--- a/src/services/planner-service.ts
+++ b/src/services/planner-service.ts
@@ -3,6 +3,7 @@
 import {PlacementUpdate} from '../contracts/placement-update.js';
 import {type RegionLoad} from '../contracts/region-load.js';
 import {type InstanceTable} from '../decisions/instance-table.js';
+import {objectId} from '../decisions/object-id.js';
 import {PlacementPlan} from '../decisions/placement-plan.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
 import {type Logger} from './logger.js';
@@ -68,7 +69,7 @@
 
 	/** Counts a request for an object. */
 	countRequest(req: ObjectRequest): void {
-		const id = `${req.service}|${req.route}|${req.objectKey}`;
+		const id = `${objectId(req.service, req.priority, req.objectKey)}|${req.route}`;
 		const entry = this.#requests.get(id);
 		if (entry === undefined) {
 			this.#requests.set(id, {...req, count: 1});
@@ -142,7 +143,6 @@
 	async #report(isPlanner: boolean): Promise<void> {
 		const {members, peerClient, logger} = this.#options;
 		const report: PlacementReport = {
-			zone: members.membership.self.zone,
 			haveVersion: this.#version,
 			routes: [...this.#answers.values()].map(entry => [entry.service, entry.route, Math.round(entry.shortestMs)]),
 			objects: [...this.#requests.values()].map(entry => [entry.service, entry.route, entry.priority, entry.objectKey, entry.count, [...entry.allowedRegions]]),
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -229,7 +229,6 @@
 					cold: new ColdAllowance(),
 					random: new SeededRandom(seed + 2),
 					region: settings.host.region,
-					zone: settings.host.zone,
 					hostsByRegion: () => get('steering').hostsByRegion(),
 					assignments: get('planner').assignments,
 					reservationOf: service => get('planner').reservationOf(service),
