A whole answer is delivered though its connection breaks; a cut one never

Cause: the exchange of the product's own upstreams and of the store took an answer without a length for whole when its connection was reset: the library ends the body in both cases. The instances' client did the opposite as well: it threw away an answer that was whole by its length when the connection broke right after it. Change: in both, a broken connection makes an answer incomplete exactly where the connection's end was to mark the answer's.

--- a/src/adapters/http-exchange.ts
+++ b/src/adapters/http-exchange.ts
@@ -61,13 +61,19 @@
 		}
 
 		const headers = flattenHeaders(res.headers);
+		const endsWithConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+		if (conn.isBroken && endsWithConnection) {
+			exchange.pool.discard(conn);
+			return {kind: 'lost', detail: 'the connection broke before the answer had ended'};
+		}
+
 		const fault = findFault(exchange.requestId, headers, body.data);
 		if (fault !== undefined) {
 			exchange.pool.discard(conn);
 			return {kind: 'broken', detail: fault};
 		}
 
-		if (headers.connection === 'close') {
+		if (headers.connection === 'close' || conn.isBroken) {
 			exchange.pool.discard(conn);
 		} else {
 			exchange.pool.release(conn);
--- a/src/adapters/instance-client.ts
+++ b/src/adapters/instance-client.ts
@@ -20,6 +20,13 @@
 };
 
 type Connection = NonNullable<ReturnType<ConnectionPool['acquire']>>;
+type LongAnswer = {
+	readonly source: AsyncIterator<Uint8Array, unknown>;
+	readonly pool: ConnectionPool;
+	readonly conn: Connection;
+	readonly scope: AbortScope;
+	readonly framing: ReturnType<typeof framingOf>;
+};
 type Head = {readonly status: number; readonly headers: readonly string[]; readonly info: ReturnType<HttpDialect['readAnswer']>};
 
 /** Silence after which a connection is not used again, in milliseconds; one that went silent for good is found by this. */
@@ -82,17 +89,18 @@
 
 			const source = res.body[Symbol.asyncIterator]() as AsyncIterator<Uint8Array, unknown>;
 			const start = await readStart(source, this.#options.maxHeldBytes);
+			const framing = framingOf(head.headers);
 			if (!start.isEnded) {
 				isHandedOn = true;
 				const rest = this.#readRest({
-					source, pool, conn, scope,
+					source, pool, conn, scope, framing,
 				});
 				return {
-					kind: 'partial', ...head, framing: framingOf(head.headers), start: start.bytes, rest,
+					kind: 'partial', ...head, framing, start: start.bytes, rest,
 				};
 			}
 
-			if (conn.isBroken) {
+			if (conn.isBroken && framing === 'connection') {
 				pool.discard(conn);
 				return {kind: 'lost', detail: 'the connection broke before the answer had ended'};
 			}
@@ -101,7 +109,7 @@
 			return head.info.isNotRun || head.info.isMisdirected
 				? {kind: 'not_run', ...head}
 				: {
-					kind: 'whole', ...head, framing: framingOf(head.headers), body: start.bytes,
+					kind: 'whole', ...head, framing, body: start.bytes,
 				};
 		} catch (err) {
 			pool.discard(conn);
@@ -139,7 +147,7 @@
 
 	#giveBack(pool: ConnectionPool, conn: Connection, head: Head): void {
 		const isClosing = head.headers.some((text, index) => index % 2 === 0 && text.toLowerCase() === 'connection' && head.headers[index + 1]!.toLowerCase().includes('close'));
-		if (isClosing) {
+		if (isClosing || conn.isBroken) {
 			pool.discard(conn);
 		} else {
 			pool.release(conn);
@@ -147,13 +155,13 @@
 	}
 
 	/** The rest of a long answer; its connection is not used again. */
-	async * #readRest({source, pool, conn, scope}: {source: AsyncIterator<Uint8Array, unknown>; pool: ConnectionPool; conn: Connection; scope: AbortScope}): AsyncIterable<Uint8Array> {
+	async * #readRest({source, pool, conn, scope, framing}: LongAnswer): AsyncIterable<Uint8Array> {
 		try {
 			for (let next = await source.next(); next.done !== true; next = await source.next()) {
 				yield next.value;
 			}
 
-			if (conn.isBroken) {
+			if (conn.isBroken && framing === 'connection') {
 				throw new Error('the connection broke before the answer had ended');
 			}
 		} finally {
