The time of a route is its usual time when warm, not the luckiest

Cause: the planner took the shortest time that any host reported in half a second and hardly ever raised it: 187 ms for suivi-lookup, whose runs take 264 ms when warm. So a region that was nearly full looked half busy, and kept its objects. Change: the estimate leans to short times (0.2 against 0.05), no more than that.

--- a/src/decisions/placement-plan.test.ts
+++ b/src/decisions/placement-plan.test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {objectId} from './object-id.js';
 import {PlacementPlan} from './placement-plan.js';
+import {SeededRandom} from './seeded-random.js';
 
 type Instances = Parameters<PlacementPlan['tick']>[0]['instances'];
 
@@ -28,6 +29,19 @@
 });
 
 describe('placement plan', () => {
+	it('takes the usual time at a warm instance for the time of a route, neither a cold run nor the luckiest', () => {
+		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
+		const random = new SeededRandom(1);
+		for (let tick = 0; tick < 400; tick++) {
+			const isCold = random.next() < 0.1;
+			plan.report({haveVersion: 0, routes: [['s', '/r/', (isCold ? 900 : 270) * (0.8 + (0.4 * random.next()))]], objects: []}, tick * tickMs);
+		}
+
+		const [[, timeMs]] = plan.regionLoad().times as [[string, number]];
+		expect(timeMs).toBeGreaterThan(240);
+		expect(timeMs).toBeLessThan(330);
+	});
+
 	it('gives every object an instance, and keeps it there while the load is steady and light', () => {
 		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
 		const options = {
--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -78,9 +78,9 @@
 const leastCount = 0.01;
 /** First guess of a request's time at an instance, in milliseconds. */
 const initialMs = 150;
-/** Weights of a new time: the estimate follows the short times, which are those of warm instances. */
-const shorterWeight = 0.3;
-const longerWeight = 0.001;
+/** Weights of a new time: the estimate leans to the short times, which are those of warm instances. */
+const shorterWeight = 0.2;
+const longerWeight = 0.05;
 /** Time in which a new plan only learns how much the objects need, in milliseconds. */
 const learningMs = 3000;
 /** Busy share of an instance above which objects move away if another is less busy by the margin. */
