A crowded single instance is kept for the most urgent requests

Found by lines of each send, with the load told by the answer. Change: with one instance left in the region, and that one crowded, it is kept for the most urgent as one of several is; the others go to regions that offer room, within the cap on shifts, and stay until then. A region without an instance for a pool now tells the others that it needs some.

--- a/src/decisions/placement-plan.test.ts
+++ b/src/decisions/placement-plan.test.ts
@@ -155,6 +155,59 @@
 		expect(new Set(plan.regionLoad().reserved)).toEqual(urgent);
 	});
 
+	describe('with a single instance for all priorities', () => {
+		const instances = [...instancesOf('a', 1), ...instancesOf('b', 4)];
+		const requests = (count: number) => objects.flatMap(object => [['s', '/urgent/', 0, object, 1, []], ['s', '/slow/', 2, object, count, []]] as Array<[string, string, number, string, number, string[]]>);
+
+		function playBoth(plan: PlacementPlan, slow: number, forMs: number, onTick: (nowMs: number) => void): void {
+			for (let nowMs = 0; nowMs < forMs; nowMs += tickMs) {
+				plan.report({haveVersion: 0, routes: [['s', '/urgent/', 20], ['s', '/slow/', 100]], objects: requests(slow)}, nowMs);
+				plan.tick({instances, priorities: new Map(), hosts: new Map()}, nowMs);
+				onTick(nowMs);
+			}
+		}
+
+		const awayOf = (plan: PlacementPlan, priority: number) => objects.filter(object => plan.instanceOf(objectId('s', priority, object)).startsWith('b')).length;
+
+		it('keeps a crowded one for the most urgent requests, and sends the others away no faster than the cap on shifts', () => {
+			const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
+			let before = 0;
+			let fastest = 0;
+			playBoth(plan, 1, 30_000, nowMs => {
+				if (nowMs >= 4000) {
+					plan.hear({
+						region: 'b', pools: [['s|rest', 12, 0]], reserved: [], offers: [['s|rest', 'a', 12]], uses: [], times: [],
+					}, nowMs);
+				}
+
+				if (nowMs % 2000 === 0) {
+					fastest = Math.max(fastest, awayOf(plan, 2) - before);
+					before = awayOf(plan, 2);
+				}
+			});
+			expect(awayOf(plan, 2)).toBe(objects.length);
+			expect(awayOf(plan, 0)).toBe(0);
+			expect(fastest / (2 * objects.length)).toBeLessThanOrEqual(0.15 + (1 / (2 * objects.length)));
+		});
+
+		it('shares it while nobody offers room', () => {
+			const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
+			playBoth(plan, 1, 20_000, () => undefined);
+			expect(awayOf(plan, 2)).toBe(0);
+		});
+
+		it('shares it while it is not crowded', () => {
+			const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
+			for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
+				plan.hear(wordOf('b', 12, 0, 12), nowMs);
+				plan.report({haveVersion: 0, routes: [['s', '/urgent/', 20], ['s', '/slow/', 20]], objects: requests(1).slice(0, 8)}, nowMs);
+				plan.tick({instances, priorities: new Map(), hosts: new Map()}, nowMs);
+			}
+
+			expect(objects.slice(0, 4).map(object => plan.instanceOf(objectId('s', 2, object)))).toEqual(['a0', 'a0', 'a0', 'a0']);
+		});
+	});
+
 	it('offers to others only what is free here, and the busier ones get more', () => {
 		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
 		plan.hear(wordOf('b', 6, 6, 0), 9000);
--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -169,7 +169,7 @@
 		this.#regions.set(load.region, {
 			offers: new Map(load.offers.filter(([, region]) => region === this.#options.region).map(([pool, , slots]) => [pool, slots])),
 			uses: new Map(load.uses),
-			busy: new Map(load.pools.map(([pool, slots, busy]) => [pool, slots > 0 ? busy / slots : 0])),
+			busy: new Map(load.pools.map(([pool, slots, busy]) => [pool, slots > 0 ? busy / slots : Math.min(1, busy)])),
 			reserved: new Set(load.reserved),
 			heardMs: nowMs,
 		});
@@ -300,7 +300,9 @@
 		const seen = isLearning ? routed : asked.map(object => object.priority);
 		const urgent = Math.min(...seen);
 		const isMixed = seen.some(priority => priority > urgent);
-		const reserved = isMixed ? this.#reserve(service, own, asked.filter(object => object.priority === urgent), nowMs) : [];
+		const away = instances.filter(instance => instance.region !== this.#options.region);
+		const isShared = own.length < 2 && !(away.length > 0 && this.#isCrowded(own, asked, nowMs));
+		const reserved = isMixed && !isShared ? this.#reserve(service, own, asked.filter(object => object.priority === urgent), nowMs) : [];
 		const reservedIds = new Set(reserved.map(instance => instance.id));
 		if (reserved.length > 0) {
 			this.#reservations.push([service, urgent, [...reservedIds]]);
@@ -308,7 +310,6 @@
 
 		const others = [...this.#reserved].filter(id => !instances.some(instance => instance.id === id));
 		this.#reserved = new Set([...others, ...reservedIds]);
-		const away = instances.filter(instance => instance.region !== this.#options.region);
 		const isReservedAway = (instance: PlanInstance) => this.#regions.get(instance.region)?.reserved.has(instance.id) === true;
 		const rest: Pool = {
 			name: `${service}|rest`,
@@ -323,12 +324,18 @@
 		return reserved.length === 0 ? [rest] : [rest, first];
 	}
 
-	/** Chooses the instances for the most urgent requests; the number follows their load slowly. */
-	#reserve(service: string, own: readonly PlanInstance[], objects: readonly PlannedObject[], nowMs: number): readonly PlanInstance[] {
-		if (own.length < 2) {
-			return [];
+	/** Whether an instance that is the only one of the region is too busy to serve requests of all priorities. */
+	#isCrowded([only]: readonly PlanInstance[], objects: readonly PlannedObject[], nowMs: number): boolean {
+		if (only === undefined) {
+			return false;
 		}
 
+		const demand = objects.reduce((sum, object) => sum + this.#demand(object, nowMs), 0);
+		return demand / only.slots > (this.#reserved.has(only.id) ? returnShare : leaveShare);
+	}
+
+	/** Chooses the instances for the most urgent requests; the number follows their load slowly. */
+	#reserve(service: string, own: readonly PlanInstance[], objects: readonly PlannedObject[], nowMs: number): readonly PlanInstance[] {
 		const slots = own.reduce((sum, instance) => sum + instance.slots, 0) / own.length;
 		const demand = objects.reduce((sum, object) => sum + this.#demand(object, nowMs), 0);
 		const current = own.filter(instance => this.#reserved.has(instance.id)).length;
@@ -370,6 +377,12 @@
 		const sizes = regionSizes(picture.instances, this.#hosts);
 		for (const object of this.#byDemand(homeless, nowMs)) {
 			const allowed = picture.instances.filter(instance => mayRunIn(object, instance.region));
+			const away = this.#foreignTarget(picture, object, nowMs);
+			if (this.#present.has(object.instanceId) && this.#ownOf(allowed).length === 0) {
+				this.#sendAway(picture, object, away, nowMs);
+				continue;
+			}
+
 			const start = startRegion(object.objectKey, this.#options.region, sizes);
 			const near = firstFilled(allowed.filter(instance => instance.region === start), this.#ownOf(allowed), allowed);
 			const [first] = rendezvousOrder(object.objectKey, near, instance => instance.id);
@@ -380,13 +393,20 @@
 
 			const isFirstFine = share(picture, first) <= share(picture, least) + marginShare;
 			const here = isFirstFine ? first : least;
-			const away = this.#foreignTarget(picture, object, nowMs);
 			const mayLeave = object.instanceId !== '' && !this.#present.has(object.instanceId) && away !== undefined && allowed.includes(away) && share(picture, here) > busyShare;
 			const isAwayBetter = mayLeave && share(picture, away) + marginShare < share(picture, here);
 			this.#move(picture, object, isAwayBetter ? away : here, nowMs);
 		}
 	}
 
+	/** Moves an object, whose instance here is kept for others now, to another region; until the cap on shifts allows it, the object stays. */
+	#sendAway(picture: PoolPicture, object: PlannedObject, to: PlanInstance | undefined, nowMs: number): void {
+		if (to !== undefined && this.#shiftCredit > 0) {
+			this.#shiftCredit -= this.#rate(object, nowMs);
+			this.#move(picture, object, to, nowMs);
+		}
+	}
+
 	/** Moves objects between this region and others while this one is busy, or back while it is not. */
 	#exchange(picture: PoolPicture, nowMs: number): void {
 		const own = this.#ownOf(picture.instances);
@@ -408,8 +428,7 @@
 				return;
 			}
 
-			this.#shiftCredit -= this.#rate(object, nowMs);
-			this.#move(picture, object, to, nowMs);
+			this.#sendAway(picture, object, to, nowMs);
 		}
 	}
 
@@ -506,7 +525,9 @@
 			}
 		}
 
-		if (own.length > 0) {
+		if (own.length === 0) {
+			this.#pools.push([picture.name, 0, picture.objects.reduce((sum, object) => sum + this.#demand(object, nowMs), 0)]);
+		} else {
 			const busy = own.reduce((sum, instance) => sum + picture.load.get(instance.id)!, 0);
 			this.#pools.push([picture.name, slots, busy]);
 			const foreign = own.reduce((sum, instance) => sum + this.#foreignUse(instance.id, nowMs), 0);
