The most urgent requests start at home, apart from the others, before any planner says so

Planner and hosts also counted different slots when they chose the region of a start. Change: hosts without a plan keep the instance that the planner will keep for the most urgent, from the same order; the most urgent start in their own region; the region of a start follows from all slots of the service.

--- a/src/decisions/placement-plan.test.ts
+++ b/src/decisions/placement-plan.test.ts
@@ -157,7 +157,8 @@
 
 	describe('with a single instance for all priorities', () => {
 		const instances = [...instancesOf('a', 1), ...instancesOf('b', 4)];
-		const requests = (count: number) => objects.flatMap(object => [['s', '/urgent/', 0, object, 1, []], ['s', '/slow/', 2, object, count, []]] as Array<[string, string, number, string, number, string[]]>);
+		const requests = (slow: number) => objects.flatMap(object =>
+			[['s', '/urgent/', 0, object, 1, []], ['s', '/slow/', 2, object, slow, []]] as Array<[string, string, number, string, number, string[]]>);
 
 		function playBoth(plan: PlacementPlan, slow: number, forMs: number, onTick: (nowMs: number) => void): void {
 			for (let nowMs = 0; nowMs < forMs; nowMs += tickMs) {
--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -1,10 +1,12 @@
 import {type PlacementReport} from '../contracts/placement-report.js';
 import {type PlacementUpdate} from '../contracts/placement-update.js';
 import {type RegionLoad} from '../contracts/region-load.js';
+import {isMostUrgent} from './is-most-urgent.js';
 import {objectId} from './object-id.js';
 import {regionSizes} from './region-sizes.js';
 import {rendezvousOrder} from './rendezvous-order.js';
 import {startRegion} from './start-region.js';
+import {urgentOrder} from './urgent-order.js';
 
 /** An instance that takes work. */
 type PlanInstance = {readonly id: string; readonly service: string; readonly region: string; readonly slots: number};
@@ -128,7 +130,9 @@
 	#reservations: PlacementUpdate['reserved'] = [];
 	/** Instances that take work. */
 	#present: ReadonlySet<string> = new Set();
-	#hosts: ReadonlyMap<string, number> = new Map();
+	#priorities: Priorities = new Map();
+	/** Slots and hosts of each region, by service. */
+	#sizes: ReadonlyMap<string, ReturnType<typeof regionSizes>> = new Map();
 	#uses = new Map<string, number>();
 
 	/** `version` has to exceed that of any earlier plan of the region; `known` are the assignments to begin with. */
@@ -191,7 +195,8 @@
 		this.#pools = [];
 		this.#uses = new Map();
 		this.#present = new Set(instances.map(instance => instance.id));
-		this.#hosts = hosts;
+		this.#priorities = priorities;
+		this.#sizes = new Map(instances.map(({service}) => [service, regionSizes(instances.filter(instance => instance.service === service), hosts)]));
 		const services = new Set(instances.map(instance => instance.service));
 		this.#reservations = [];
 		const pools = [...services].flatMap(service => this.#poolsOf(service, instances, priorities.get(service) ?? [], nowMs));
@@ -342,7 +347,7 @@
 		const least = Math.ceil(demand / (reserveBusyShare * slots));
 		const most = Math.ceil(demand / (reserveIdleShare * slots));
 		const count = Math.max(1, Math.min(own.length - 1, Math.max(least, Math.min(most, current))));
-		return rendezvousOrder(`${service}|urgent`, own, instance => instance.id).slice(0, count);
+		return urgentOrder(service, own, instance => instance.id).slice(0, count);
 	}
 
 	#picture({name, instances, objects}: Pool, nowMs: number): PoolPicture {
@@ -374,7 +379,6 @@
 	 */
 	#place(picture: PoolPicture, nowMs: number): void {
 		const homeless = picture.objects.filter(object => !picture.byId.has(object.instanceId));
-		const sizes = regionSizes(picture.instances, this.#hosts);
 		for (const object of this.#byDemand(homeless, nowMs)) {
 			const allowed = picture.instances.filter(instance => mayRunIn(object, instance.region));
 			const away = this.#foreignTarget(picture, object, nowMs);
@@ -383,7 +387,7 @@
 				continue;
 			}
 
-			const start = startRegion(object.objectKey, this.#options.region, sizes);
+			const start = this.#startOf(object);
 			const near = firstFilled(allowed.filter(instance => instance.region === start), this.#ownOf(allowed), allowed);
 			const [first] = rendezvousOrder(object.objectKey, near, instance => instance.id);
 			const least = leastBusy(picture, near);
@@ -399,6 +403,12 @@
 		}
 	}
 
+	/** The region in which an object starts; the own one for the most urgent requests. */
+	#startOf({service, priority, objectKey}: PlannedObject): string {
+		const isUrgent = isMostUrgent(priority, this.#priorities.get(service) ?? []);
+		return isUrgent ? this.#options.region : startRegion(objectKey, this.#options.region, this.#sizes.get(service) ?? []);
+	}
+
 	/** Moves an object, whose instance here is kept for others now, to another region; until the cap on shifts allows it, the object stays. */
 	#sendAway(picture: PoolPicture, object: PlannedObject, to: PlanInstance | undefined, nowMs: number): void {
 		if (to !== undefined && this.#shiftCredit > 0) {
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -1,10 +1,12 @@
 import {type ColdAllowance} from './cold-allowance.js';
 import {type InstanceTable} from './instance-table.js';
+import {isMostUrgent} from './is-most-urgent.js';
 import {objectId} from './object-id.js';
 import {regionSizes} from './region-sizes.js';
 import {rendezvousOrder} from './rendezvous-order.js';
 import {type SeededRandom} from './seeded-random.js';
 import {startRegion} from './start-region.js';
+import {urgentOrder} from './urgent-order.js';
 
 type Candidate = ReturnType<InstanceTable['serving']>[number];
 
@@ -20,6 +22,8 @@
 	readonly isSponsor: (instanceId: string, region: string) => boolean;
 	/** Instance to which the region's planner assigned an object, by the object's id. */
 	readonly assignments: ReadonlyMap<string, string>;
+	/** Priorities of the routes with affinity to a service, most urgent first. */
+	readonly prioritiesOf: (service: string) => readonly number[];
 	/** Instances that the planner keeps for the most urgent requests of a service. */
 	readonly reservationOf: (service: string) => {readonly priority: number; readonly instanceIds: ReadonlySet<string>} | undefined;
 };
@@ -63,16 +67,16 @@
 
 		const own = allowed.filter(entry => entry.region === this.#options.region);
 		const others = allowed.filter(entry => entry.region !== this.#options.region);
-		const fitting = own.filter(entry => this.#isFitting(entry, req));
+		const fitting = this.#fitting(own, req);
 		const start = this.#startRegion(req);
 		const away = others.filter(entry => entry.region === start);
 		return this.#first(away, req, nowMs) ?? this.#first(fitting, req, nowMs) ?? this.#first(own, req, nowMs) ?? this.#first(others, req, nowMs);
 	}
 
-	/** The region where the object of a request starts; the own one for a request without an object. */
-	#startRegion({service, objectKey}: PlacementRequest): string {
-		const {table, region, hostsByRegion} = this.#options;
-		if (objectKey === undefined) {
+	/** The region where the object of a request starts; the own one for a request without an object and for the most urgent. */
+	#startRegion({service, objectKey, priority}: PlacementRequest): string {
+		const {table, region, hostsByRegion, prioritiesOf} = this.#options;
+		if (objectKey === undefined || isMostUrgent(priority, prioritiesOf(service))) {
 			return region;
 		}
 
@@ -80,10 +84,17 @@
 		return startRegion(objectKey, region, regionSizes(instances, hostsByRegion()));
 	}
 
-	/** Whether an instance is meant for requests of this priority. */
-	#isFitting(entry: Candidate, req: PlacementRequest): boolean {
-		const reservation = this.#options.reservationOf(req.service);
-		return reservation === undefined || reservation.instanceIds.has(entry.instance.id) === (req.priority === reservation.priority);
+	/** Instances of the region that are meant for requests of this priority, as the planner keeps them, or will. */
+	#fitting(own: readonly Candidate[], {service, priority}: PlacementRequest): Candidate[] {
+		const {reservationOf, prioritiesOf} = this.#options;
+		const reservation = reservationOf(service);
+		if (reservation !== undefined) {
+			return own.filter(entry => reservation.instanceIds.has(entry.instance.id) === (priority === reservation.priority));
+		}
+
+		const [urgent, next] = prioritiesOf(service).filter((other, index, all) => other !== all[index - 1]);
+		const [kept] = urgentOrder(service, own, entry => entry.instance.id);
+		return next === undefined || own.length < 2 ? [...own] : own.filter(entry => (entry === kept) === (priority === urgent));
 	}
 
 	#first(candidates: readonly Candidate[], req: PlacementRequest, nowMs: number): Candidate | undefined {
--- a/src/decisions/sending.test.ts
+++ b/src/decisions/sending.test.ts
@@ -165,10 +165,18 @@
 });
 
 describe('placement', () => {
-	function setUp(assignments = new Map<string, string>(), isSponsor = false, hosts = new Map<string, number>()) {
+	function setUp(assignments = new Map<string, string>(), isSponsor = false, hosts = new Map<string, number>(), priorities: readonly number[] = []) {
 		const table = new InstanceTable({regionOf});
 		const placement = new Placement({
-			table, cold: new ColdAllowance(), random: new SeededRandom(1), region: 'a', hostsByRegion: () => hosts, isSponsor: () => isSponsor, assignments, reservationOf: () => undefined,
+			table,
+			cold: new ColdAllowance(),
+			random: new SeededRandom(1),
+			region: 'a',
+			hostsByRegion: () => hosts,
+			isSponsor: () => isSponsor,
+			assignments,
+			prioritiesOf: () => priorities,
+			reservationOf: () => undefined,
 		});
 		const choose = (objectKey: string | undefined, fields: Partial<Parameters<Placement['choose']>[0]> = {}, nowMs = 0) => placement.choose({
 			service: 's', objectKey, priority: 0, isRepeatable: true, allowedRegions: [], avoid: new Set(), coldPerSecond: 12, ...fields,
@@ -226,6 +234,21 @@
 		expect(keys.every(key => choose(key, {allowedRegions: ['a']}) === 'a0')).toBe(true);
 	});
 
+	it('keeps the most urgent requests at home and apart from the others, before any planner says so', () => {
+		const {table, choose} = setUp(undefined, false, new Map([['a', 4], ['b', 4]]), [0, 2]);
+		for (const [id, zone] of [['a0', 'a-1'], ['a1', 'a-1'], ['b0', 'b-1'], ['b1', 'b-1'], ['b2', 'b-1'], ['b3', 'b-1']] as const) {
+			table.write(instance(id, {zone}), 0);
+		}
+
+		const keys = Array.from({length: 60}, (_, index) => `k${index}`);
+		const urgent = new Set(keys.map(key => choose(key, {priority: 0})));
+		const others = new Set(keys.map(key => choose(key, {priority: 2})));
+		expect(urgent.size).toBe(1);
+		expect([...urgent][0]).toMatch(/^a/);
+		expect(others.has([...urgent][0])).toBe(false);
+		expect([...others].some(id => id?.startsWith('b'))).toBe(true);
+	});
+
 	it('leaves cold instances to the host that acts for them, within its allowance', () => {
 		const {table, choose} = setUp();
 		table.write(instance('i1', {coldMs: 3000}), 0);
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -231,6 +231,7 @@
 					region: settings.host.region,
 					hostsByRegion: () => get('steering').hostsByRegion(),
 					assignments: get('planner').assignments,
+					prioritiesOf: service => get('steering').priorities.get(service) ?? [],
 					reservationOf: service => get('planner').reservationOf(service),
 					isSponsor(instanceId, region) {
 						const [sponsor] = rendezvousOrder(instanceId, members.membership.staying(), memberKey);
