--- a/src/services/planner-service.ts
+++ b/src/services/planner-service.ts
@@ -5,7 +5,6 @@
 import {type InstanceTable} from '../decisions/instance-table.js';
 import {objectId} from '../decisions/object-id.js';
 import {PlacementPlan} from '../decisions/placement-plan.js';
-import {WarmTimes} from '../decisions/warm-times.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
 import {type Logger} from './logger.js';
 import {type MembersService} from './members-service.js';
@@ -37,11 +36,10 @@
 
 /** Reports to the region's planner which objects are asked for, and plans if this host is the one. */
 export class PlannerService {
-	/** Times of this host's requests to the region's own instances. */
-	readonly warmTimes = new WarmTimes();
 	readonly #options: PlannerOptions;
 	readonly #assignments = new Map<string, string>();
 	readonly #requests = new Map<string, ObjectRequest & {count: number}>();
+	readonly #answers = new Map<string, {readonly service: string; readonly route: string; shortestMs: number}>();
 	#reserved: ReadonlyMap<string, Reservation> = new Map();
 	#version = 0;
 	#plan: PlacementPlan | undefined;
@@ -80,6 +78,16 @@
 		}
 	}
 
+	/** Counts an answer that did not wait at its instance; the time is in milliseconds. */
+	countAnswer(service: string, route: string, tookMs: number): void {
+		const key = `${service}|${route}`;
+		const entry = this.#answers.get(key) ?? {
+			service, route, shortestMs: tookMs,
+		};
+		entry.shortestMs = Math.min(entry.shortestMs, tookMs);
+		this.#answers.set(key, entry);
+	}
+
 	/** Takes in a host's report as the region's planner. */
 	takeReport(report: PlacementReport): PlacementUpdate {
 		return this.#planHere().report(report, this.#options.clock.nowMs());
@@ -136,10 +144,11 @@
 		const {members, peerClient, logger} = this.#options;
 		const report: PlacementReport = {
 			haveVersion: this.#version,
-			routes: this.warmTimes.take(),
+			routes: [...this.#answers.values()].map(entry => [entry.service, entry.route, Math.round(entry.shortestMs)]),
 			objects: [...this.#requests.values()].map(entry => [entry.service, entry.route, entry.priority, entry.objectKey, entry.count, [...entry.allowedRegions]]),
 		};
 		this.#requests.clear();
+		this.#answers.clear();
 		this.#isReporting = true;
 		try {
 			this.#apply(isPlanner ? this.takeReport(report) : PlacementUpdate.parse(await peerClient.steering(members.ownerOf('placement').peers).report.mutate(report)));
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -25,8 +25,6 @@
 	readonly retries: RetryShare;
 	readonly quarantine: QuarantineService;
 	readonly planner: PlannerService;
-	/** Region of this host. */
-	readonly region: string;
 	/** Hosts that may be sending to the same services. */
 	readonly hosts: () => number;
 	/** Requests a second that all hosts together may send to a cold instance that tolerates some. */
@@ -217,7 +215,10 @@
 		metrics.observe('instance_seconds', {service, result: result.kind}, nowMs - startMs);
 		entry.health.ended(toSendEnd(result), nowMs);
 		this.#noteCrashSign(passage, id, result);
-		this.#noteTime(passage, entry, result, nowMs - startMs);
+		if ('info' in result && result.kind !== 'not_run' && (result.info.load?.waiting ?? 0) === 0) {
+			this.#options.planner.countAnswer(service, passage.route.prefix, nowMs - startMs);
+		}
+
 		if (result.kind !== 'whole' && result.kind !== 'partial') {
 			logger.info('a send brought no answer', {
 				request: req.requestId, instance: id, address, result: result.kind, detail: 'detail' in result ? result.detail : '', tookMs: Math.round(nowMs - startMs),
@@ -227,17 +228,6 @@
 		return result;
 	}
 
-	/** Tells the planner how long an answer took that did not wait for a slot, nor travelled between regions. */
-	#noteTime({req, route, service}: Passage, {instance, region}: Entry, result: InstanceResult, tookMs: number): void {
-		const {planner, region: ownRegion} = this.#options;
-		const didWait = !('info' in result) || result.kind === 'not_run' || (result.info.load?.waiting ?? 0) > 0;
-		if (route.hasAffinity && req.objectKey !== undefined && !didWait && region === ownRegion) {
-			planner.warmTimes.count({
-				service, route: route.prefix, objectKey: req.objectKey, instanceId: instance.id, tookMs,
-			});
-		}
-	}
-
 	/** A connection lost while the request ran counts against the request, a whole answer for it. */
 	#noteCrashSign({fingerprint, service}: Passage, instanceId: string, result: InstanceResult): void {
 		const {quarantine} = this.#options;
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -248,7 +248,6 @@
 					retries: new RetryShare({ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.retryWindowMs}),
 					quarantine: get('quarantine'),
 					planner: get('planner'),
-					region: settings.host.region,
 					hosts: () => Math.max(get('steering').hosts.size, members.membership.alive().length),
 					coldLimit: perSecond => (perSecond * bounds.coldMultiplier) + bounds.coldTolerance,
 				});
