A planner that knows less goes on from what the hosts know

Cause: found by reading. A host that starts again may be the planner at once, with no assignment, and gave the whole region a new plan. A host that changed planners also compared versions of two planners, and could keep a part of the old plan for good. Change: the first report to a planner carries the host's assignments; in its first three seconds a planner takes over those with the highest version, and answers everything to such a report. Test: fails without the change on both counts.

--- a/src/contracts/placement-report.ts
+++ b/src/contracts/placement-report.ts
@@ -4,6 +4,8 @@
 export const PlacementReport = z.object({
 	/** Version of the assignments that the host has. */
 	haveVersion: z.int().min(0),
+	/** The assignments that the host has, object and instance, when it reports to a planner for the first time; empty later. */
+	known: z.array(z.tuple([z.string(), z.string()])),
 	/** Service, route, and the shortest time of an answer that did not wait at its instance, in milliseconds. */
 	routes: z.array(z.tuple([z.string(), z.string(), z.number().min(0)])),
 	/** Service, route, priority, object, requests, and the regions to which the route is confined. */
--- a/src/decisions/placement-plan.test.ts
+++ b/src/decisions/placement-plan.test.ts
@@ -12,7 +12,7 @@
 	const {instances, objects, perSecond, fromMs, forMs} = options;
 	for (let nowMs = fromMs; nowMs < fromMs + forMs; nowMs += tickMs) {
 		plan.report({
-			haveVersion: 0, routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', 0, object, Math.max(1, Math.round(perSecond * tickMs / 1000)), []]),
+			haveVersion: 0, known: [], routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', 0, object, Math.max(1, Math.round(perSecond * tickMs / 1000)), []]),
 		}, nowMs);
 		plan.tick({instances, priorities: new Map(), hosts: new Map()}, nowMs);
 		onTick();
@@ -34,7 +34,9 @@
 		const random = new SeededRandom(1);
 		for (let tick = 0; tick < 400; tick++) {
 			const isCold = random.next() < 0.1;
-			plan.report({haveVersion: 0, routes: [['s', '/r/', (isCold ? 900 : 270) * (0.8 + (0.4 * random.next()))]], objects: []}, tick * tickMs);
+			plan.report({
+				haveVersion: 0, known: [], routes: [['s', '/r/', (isCold ? 900 : 270) * (0.8 + (0.4 * random.next()))]], objects: [],
+			}, tick * tickMs);
 		}
 
 		const [[, timeMs]] = plan.regionLoad().times as [[string, number]];
@@ -92,7 +94,9 @@
 		const hosts = new Map([['a', 4], ['b', 4]]);
 		const plans = ['a', 'b'].map(region => new PlacementPlan({region}, 1, new Map(), 0));
 		for (const plan of plans) {
-			plan.report({haveVersion: 0, routes: [], objects: objects.map(object => ['s', '/r/', 0, object, 1, []])}, 0);
+			plan.report({
+				haveVersion: 0, known: [], routes: [], objects: objects.map(object => ['s', '/r/', 0, object, 1, []]),
+			}, 0);
 			plan.tick({instances, priorities: new Map(), hosts}, 0);
 		}
 
@@ -118,7 +122,7 @@
 		for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
 			plan.hear(wordOf('b', 12, 0, 12), nowMs);
 			plan.report({
-				haveVersion: 0, routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', 0, object, 4, ['a']]),
+				haveVersion: 0, known: [], routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', 0, object, 4, ['a']]),
 			}, nowMs);
 			plan.tick({instances: nowMs < 10_000 ? instances : instances.slice(1), priorities: new Map(), hosts: new Map()}, nowMs);
 			expect(placed(plan).some(id => id.startsWith('b'))).toBe(false);
@@ -130,19 +134,56 @@
 		play(plan, {
 			instances: instancesOf('a', 2), objects, perSecond: 1, fromMs: 0, forMs: 1000,
 		});
-		const empty = {routes: [], objects: []};
+		const empty = {known: [], routes: [], objects: []};
 		const whole = plan.report({...empty, haveVersion: 0}, 1000);
 		expect(whole.entries).toHaveLength(objects.length);
 		expect(plan.report({...empty, haveVersion: whole.version}, 1000).entries).toEqual([]);
 		expect(plan.report({...empty, haveVersion: whole.version + 1_000_000}, 1000).entries).toHaveLength(objects.length);
 	});
 
+	describe('after another planner', () => {
+		const instances = instancesOf('a', 4);
+		const known = objects.map((object, index): [string, string] => [objectId('s', 0, object), `a${index % 4}`]);
+		const word = {
+			haveVersion: 5000, known, routes: [], objects: objects.map((object): [string, string, number, string, number, string[]] => ['s', '/r/', 0, object, 1, []]),
+		};
+
+		it('goes on from the latest assignments that a host knows', () => {
+			const plan = new PlacementPlan({region: 'a'}, 1000, new Map(), 0);
+			plan.report({...word, haveVersion: 4000, known: known.map(([id]) => [id, 'a0'])}, 0);
+			plan.tick({instances, priorities: new Map(), hosts: new Map()}, 0);
+			plan.report(word, 400);
+			plan.report({...word, haveVersion: 4500, known: known.map(([id]) => [id, 'a1'])}, 500);
+			plan.tick({instances, priorities: new Map(), hosts: new Map()}, 500);
+			expect(placed(plan)).toEqual(known.map(([, id]) => id));
+		});
+
+		it('tells a host everything that comes to it with the assignments of another planner', () => {
+			const plan = new PlacementPlan({region: 'a'}, 1000, new Map(), 0);
+			play(plan, {
+				instances, objects, perSecond: 1, fromMs: 0, forMs: 1000,
+			});
+			expect(plan.report({...word, haveVersion: 1010, objects: []}, 1000).entries).toHaveLength(objects.length);
+		});
+
+		it('takes nothing over once it has planned for a while', () => {
+			const plan = new PlacementPlan({region: 'a'}, 1000, new Map(), 0);
+			play(plan, {
+				instances, objects, perSecond: 1, fromMs: 0, forMs: 5000,
+			});
+			const before = placed(plan);
+			plan.report(word, 5000);
+			expect(placed(plan)).toEqual(before);
+		});
+	});
+
 	it('keeps instances for the most urgent requests, and the others off them', () => {
 		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
 		const instances = instancesOf('a', 4);
 		for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
 			plan.report({
 				haveVersion: 0,
+				known: [],
 				routes: [['s', '/urgent/', 50], ['s', '/slow/', 500]],
 				objects: objects.flatMap(object => [['s', '/urgent/', 0, object, 1, []], ['s', '/slow/', 2, object, 1, []]] as Array<[string, string, number, string, number, string[]]>),
 			}, nowMs);
@@ -162,7 +203,9 @@
 
 		function playBoth(plan: PlacementPlan, slow: number, forMs: number, onTick: (nowMs: number) => void): void {
 			for (let nowMs = 0; nowMs < forMs; nowMs += tickMs) {
-				plan.report({haveVersion: 0, routes: [['s', '/urgent/', 20], ['s', '/slow/', 100]], objects: requests(slow)}, nowMs);
+				plan.report({
+					haveVersion: 0, known: [], routes: [['s', '/urgent/', 20], ['s', '/slow/', 100]], objects: requests(slow),
+				}, nowMs);
 				plan.tick({instances, priorities: new Map(), hosts: new Map()}, nowMs);
 				onTick(nowMs);
 			}
@@ -201,7 +244,9 @@
 			const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
 			for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
 				plan.hear(wordOf('b', 12, 0, 12), nowMs);
-				plan.report({haveVersion: 0, routes: [['s', '/urgent/', 20], ['s', '/slow/', 20]], objects: requests(1).slice(0, 8)}, nowMs);
+				plan.report({
+					haveVersion: 0, known: [], routes: [['s', '/urgent/', 20], ['s', '/slow/', 20]], objects: requests(1).slice(0, 8),
+				}, nowMs);
 				plan.tick({instances, priorities: new Map(), hosts: new Map()}, nowMs);
 			}
 
--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -121,6 +121,8 @@
 	readonly #regions = new Map<string, Word>();
 	readonly #withdrawn = new Map<string, number>();
 	#version: number;
+	/** Version of the assignments that were known at the start or taken over since. */
+	#adoptedVersion: number;
 	readonly #startMs: number;
 	#lastTickMs: number | undefined;
 	#shiftCredit = 0;
@@ -139,15 +141,19 @@
 	constructor(options: PlanOptions, version: number, known: ReadonlyMap<string, string>, nowMs: number) {
 		this.#options = options;
 		this.#version = version;
+		this.#adoptedVersion = version;
 		this.#startMs = nowMs;
 		for (const [id, instanceId] of known) {
-			const [service, priority, ...rest] = id.split('|');
-			this.#add(service!, Number(priority), rest.join('|'), nowMs).instanceId = instanceId;
+			this.#addKnown(id, nowMs).instanceId = instanceId;
 		}
 	}
 
 	/** Takes in what a host saw; answers the assignments that it lacks. */
 	report(report: PlacementReport, nowMs: number): PlacementUpdate {
+		if (report.haveVersion > this.#adoptedVersion && nowMs - this.#startMs < learningMs) {
+			this.#adopt(report, nowMs);
+		}
+
 		for (const [service, route, shortestMs] of report.routes) {
 			this.#learn(`${service}|${route}`, shortestMs);
 		}
@@ -161,7 +167,8 @@
 			object.allowedRegions = allowedRegions.length > 0 ? allowedRegions : object.allowedRegions;
 		}
 
-		return this.#updateSince(report.haveVersion);
+		// Versions of different planners say nothing about each other.
+		return this.#updateSince(report.known.length > 0 ? 0 : report.haveVersion);
 	}
 
 	/** Takes in another region's offers and uses. */
@@ -239,6 +246,24 @@
 		return object;
 	}
 
+	#addKnown(id: string, nowMs: number): PlannedObject {
+		const [service, priority, ...rest] = id.split('|');
+		return this.#add(service!, Number(priority), rest.join('|'), nowMs);
+	}
+
+	/** Goes on from an earlier planner's assignments, of which this one knew less: objects are warm there. */
+	#adopt({known, haveVersion}: PlacementReport, nowMs: number): void {
+		this.#adoptedVersion = known.length > 0 ? haveVersion : this.#adoptedVersion;
+		for (const [id, instanceId] of known) {
+			const object = this.#objects.get(id) ?? this.#addKnown(id, nowMs);
+			if (object.instanceId !== instanceId) {
+				this.#version++;
+				object.instanceId = instanceId;
+				object.version = this.#version;
+			}
+		}
+	}
+
 	#learn(route: string, timeMs: number): void {
 		const beforeMs = this.#routeMs.get(route) ?? timeMs;
 		const weight = timeMs < beforeMs ? shorterWeight : longerWeight;
--- a/src/services/planner-service.ts
+++ b/src/services/planner-service.ts
@@ -4,6 +4,7 @@
 import {type RegionLoad} from '../contracts/region-load.js';
 import {type InstanceTable} from '../decisions/instance-table.js';
 import {objectId} from '../decisions/object-id.js';
+import {memberKey} from '../decisions/member-key.js';
 import {PlacementPlan} from '../decisions/placement-plan.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
 import {type Logger} from './logger.js';
@@ -42,6 +43,8 @@
 	readonly #answers = new Map<string, {readonly service: string; readonly route: string; shortestMs: number}>();
 	#reserved: ReadonlyMap<string, Reservation> = new Map();
 	#version = 0;
+	/** The planner that took the latest report. */
+	#plannerKey = '';
 	#plan: PlacementPlan | undefined;
 	#isReporting = false;
 	#ticks = 0;
@@ -142,8 +145,11 @@
 
 	async #report(isPlanner: boolean): Promise<void> {
 		const {members, peerClient, logger} = this.#options;
+		const planner = members.ownerOf('placement');
+		const plannerKey = memberKey(planner);
 		const report: PlacementReport = {
 			haveVersion: this.#version,
+			known: plannerKey === this.#plannerKey ? [] : [...this.#assignments],
 			routes: [...this.#answers.values()].map(entry => [entry.service, entry.route, Math.round(entry.shortestMs)]),
 			objects: [...this.#requests.values()].map(entry => [entry.service, entry.route, entry.priority, entry.objectKey, entry.count, [...entry.allowedRegions]]),
 		};
@@ -151,7 +157,8 @@
 		this.#answers.clear();
 		this.#isReporting = true;
 		try {
-			this.#apply(isPlanner ? this.takeReport(report) : PlacementUpdate.parse(await peerClient.steering(members.ownerOf('placement').peers).report.mutate(report)));
+			this.#apply(isPlanner ? this.takeReport(report) : PlacementUpdate.parse(await peerClient.steering(planner.peers).report.mutate(report)));
+			this.#plannerKey = plannerKey;
 		} catch (err) {
 			logger.debug('the planner did not take the report', {err: String(err)});
 		} finally {
