--- a/src/services/planner-service.ts
+++ b/src/services/planner-service.ts
@@ -26,10 +26,12 @@
 type Reservation = {readonly priority: number; readonly instanceIds: ReadonlySet<string>};
 type ObjectRequest = {readonly service: string; readonly route: string; readonly priority: number; readonly objectKey: string; readonly allowedRegions: readonly string[]};
 
-/** Interval of the reports to the planner, and of its plans, in milliseconds. */
-const reportMs = 500;
-/** Reports between two words to the other regions. */
-const reportsPerWord = 2;
+/** Interval of the plans, and of the reports to the planner while objects lack an assignment, in milliseconds. */
+const tickMs = 500;
+/** Ticks between two reports of a host whose requests all had an assignment. */
+const ticksPerQuietReport = 2;
+/** Ticks between two words to the other regions. */
+const ticksPerWord = 2;
 /** Plans between two log lines of the region's load. */
 const ticksPerLog = 10;
 /** Added to the version of a plan that another host made, so that a new one exceeds what may still be on its way. */
@@ -48,6 +50,7 @@
 	#plan: PlacementPlan | undefined;
 	#isReporting = false;
 	#ticks = 0;
+	#ticksSinceReport = 0;
 
 	constructor(options: PlannerOptions) {
 		this.#options = options;
@@ -64,7 +67,7 @@
 	}
 
 	start(lifecycle: Lifecycle): void {
-		lifecycle.every('placement report', reportMs, () => {
+		lifecycle.every('placement', tickMs, () => {
 			this.#tick();
 		});
 		this.#options.metrics.gauge('objects_assigned', () => this.#assignments.size);
@@ -120,7 +123,7 @@
 				logger.info('load of the region', plan.regionLoad());
 			}
 
-			if (this.#ticks % reportsPerWord === 0) {
+			if (this.#ticks % ticksPerWord === 0) {
 				void this.#tellRegions(plan.regionLoad());
 			}
 		} else if (this.#plan !== undefined) {
@@ -128,7 +131,10 @@
 			this.#plan = undefined;
 		}
 
-		if (!this.#isReporting) {
+		this.#ticksSinceReport++;
+		const isDue = this.#ticksSinceReport >= ticksPerQuietReport || [...this.#requests.values()].some(req => !this.#assignments.has(objectId(req.service, req.priority, req.objectKey)));
+		if (!this.#isReporting && isDue) {
+			this.#ticksSinceReport = 0;
 			void this.#report(isPlanner);
 		}
 	}
