Lines for late and sampled answers, a budget for lines about requests, explain ID

Cause: an on-call engineer could not find a late request in the logs, nor see its route, and a flood of refusals wrote a line each. Change: a request that ends without an answer or late is logged with its route, priority and target; one in 64 of the others, chosen by its id, so that all hosts keep the same ones. Logs go to standard output. `cowslipspar explain ID < logs` puts the lines of all hosts in order and names what ended the request.

--- a/src/bin/cowslipspar.ts
+++ b/src/bin/cowslipspar.ts
@@ -1,4 +1,5 @@
 #!/usr/bin/env node
+import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {userInfo} from 'node:os';
 import meow from 'meow';
@@ -7,6 +8,7 @@
 import {commandAsk} from '../cli/command-ask.js';
 import {commandCheck} from '../cli/command-check.js';
 import {commandDrain} from '../cli/command-drain.js';
+import {commandExplainRequest} from '../cli/command-explain-request.js';
 import {commandPublish} from '../cli/command-publish.js';
 import {commandQuarantine} from '../cli/command-quarantine.js';
 import {commandStatus} from '../cli/command-status.js';
@@ -27,6 +29,7 @@
 	  status                   State of every host                          (--host)
 	  lookup SERVICE           Entry hosts that callers are told            (--host)
 	  explain SERVICE          Why look-ups and requests go where they go   (--host)
+	  explain ID < LOGS        What happened to one request, from the hosts' logs
 	  drain KIND NAME          Take a host, instance, zone or region out    (--store, --host)
 	  undrain KIND NAME        Bring it back                                (--store, --host)
 	  quarantine               Requests refused for breaking upstreams      (--host)
@@ -84,7 +87,7 @@
 		}
 
 		case 'explain': {
-			return commandAsk(ctx, false);
+			return ctx.operator === undefined && !process.stdin.isTTY ? commandExplainRequest(ctx, readFileSync(process.stdin.fd, 'utf8')) : commandAsk(ctx, false);
 		}
 
 		case 'drain': {
--- /dev/null
+++ b/src/cli/request-story.test.ts
@@ -0,0 +1,34 @@
+import {describe, expect, it} from 'vitest';
+import {requestStory} from './request-story.js';
+
+const line = (timestamp: string, host: string, message: string, fields: Record<string, unknown> = {}) =>
+	`  12.5 ${host} ${JSON.stringify({
+		timestamp, host, message, request: 'r1', ...fields,
+	})}`;
+const refused = [
+	line('2026-01-01T00:00:02Z', 'edge-1', 'request ended without an answer of an instance', {outcome: 'not_run', reason: 'retry_budget', tookMs: 7}),
+	line('2026-01-01T00:00:01Z', 'edge-1', 'a send brought no answer', {instance: 'i1', result: 'not_run'}),
+];
+
+describe('a request\'s story', () => {
+	it('puts the lines of all hosts in order and tells what ended it', () => {
+		const {lines, ending} = requestStory(refused.join('\n'), 'r1');
+		expect(lines.map(entry => entry.message)).toEqual(['a send brought no answer', 'request ended without an answer of an instance']);
+		expect(ending).toBe('not_run at edge-1 after 7 ms: an instance refused it and the share of repeats was spent');
+	});
+
+	it('leaves out other requests, lines that are no JSON and lines that only mention the id', () => {
+		const {lines} = requestStory([
+			line('2026-01-01T00:00:01Z', 'edge-1', 'a send brought no answer').replaceAll('r1', 'r10'),
+			'the operator looked for r1',
+			'{"r1": broken',
+			line('2026-01-01T00:00:01Z', 'edge-1', 'host r1 seen', {request: 'r2'}),
+		].join('\n'), 'r1');
+		expect(lines).toEqual([]);
+	});
+
+	it('tells the latest end of a request that came back under the same id', () => {
+		const answered = line('2026-01-01T00:00:03Z', 'edge-2', 'request answered late', {status: 200, tookMs: 900});
+		expect(requestStory([answered, ...refused].join('\n'), 'r1').ending).toBe('request answered late with status 200 by edge-2 after 900 ms');
+	});
+});
--- a/src/services/logger.ts
+++ b/src/services/logger.ts
@@ -1,9 +1,15 @@
+import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import winston from 'winston';
+import {LineBudget} from '../decisions/line-budget.js';
 
-/** Structured log: one JSON object a line on standard error. */
+/** Lines of one message about single requests. */
+const requestLines = {linesPerSecond: 20, linesAtOnce: 60};
+
+/** Structured log: one JSON object a line on standard output. */
 export class Logger {
 	readonly #inner: winston.Logger;
+	readonly #budget = new LineBudget(requestLines);
 
 	/** `fields` stand on every line. */
 	constructor(level: string, fields: Readonly<Record<string, string>>) {
@@ -11,7 +17,7 @@
 			level,
 			defaultMeta: fields,
 			format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
-			transports: [new winston.transports.Stream({stream: process.stderr})],
+			transports: [new winston.transports.Stream({stream: process.stdout})],
 		});
 	}
 
@@ -23,6 +29,14 @@
 		this.#inner.info(message, fields);
 	}
 
+	/** Logs a line about one request; those of a message that come too often are left out, and counted in its next line. */
+	request(message: string, fields: Readonly<Record<string, unknown>>): void {
+		const leftOut = this.#budget.take(message, performance.now());
+		if (leftOut !== undefined) {
+			this.#inner.info(message, leftOut === 0 ? fields : {...fields, leftOut});
+		}
+	}
+
 	warn(message: string, fields: Readonly<Record<string, unknown>> = {}): void {
 		this.#inner.warn(message, fields);
 	}
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -4,6 +4,7 @@
 import {type Route} from '../contracts/route.js';
 import {type InstanceTable} from '../decisions/instance-table.js';
 import {type Placement} from '../decisions/placement.js';
+import {hashText} from '../decisions/hash-text.js';
 import {type RetryShare} from '../decisions/retry-share.js';
 import {SendPlan} from '../decisions/send-plan.js';
 import {fingerprintOf} from './fingerprint-of.js';
@@ -53,6 +54,8 @@
 const noUpstreamRetryMs = 500;
 const shedRetryMs = 250;
 const quarantineRetryMs = 60_000;
+/** One in so many requests that are answered in time is logged. */
+const sampledOneIn = 64;
 
 /** Brings a client's request for a published route to one of its instances and back. */
 export class ProxyService {
@@ -70,35 +73,51 @@
 
 	/** Brings one request to its outcome. */
 	async handle(req: ProxyRequest): Promise<ProxyOutcome> {
-		const {metrics, logger, clock} = this.#options;
+		const {metrics, clock} = this.#options;
 		this.#inFlight++;
 		try {
-			const outcome = await this.#handle(req);
+			const route = this.#routeOf(req);
+			const outcome = await this.#handle(req, route);
 			const tookMs = clock.nowMs() - req.arrivedMs;
 			const reason = 'reason' in outcome ? outcome.reason : '';
 			metrics.count('proxied_requests', {outcome: outcome.kind, reason});
 			metrics.observe('proxied_seconds', {outcome: outcome.kind}, tookMs);
-			if (outcome.kind !== 'answer') {
-				logger.info('request ended without an answer of an instance', {
-					request: req.requestId, outcome: outcome.kind, reason, tookMs: Math.round(tookMs),
-				});
-			}
-
+			this.#logEnd({
+				req, route, outcome, tookMs: Math.round(tookMs),
+			});
 			return outcome;
 		} finally {
 			this.#inFlight--;
 		}
 	}
 
-	async #handle(req: ProxyRequest): Promise<ProxyOutcome> {
+	/** Logs each request that got no answer or a late one, and a sample of the others: the same ones at every host. */
+	#logEnd({req, route, outcome, tookMs}: {readonly req: ProxyRequest; readonly route: Route | undefined; readonly outcome: ProxyOutcome; readonly tookMs: number}): void {
+		const {logger} = this.#options;
+		const fields = {
+			request: req.requestId, route: route?.name, priority: route?.priority, targetMs: route?.targetMs, tookMs,
+		};
+		if (outcome.kind !== 'answer') {
+			logger.request('request ended without an answer of an instance', {...fields, outcome: outcome.kind, reason: outcome.reason});
+		} else if (route !== undefined && tookMs > route.targetMs) {
+			logger.request('request answered late', {...fields, status: outcome.result.status});
+		} else if (hashText(req.requestId ?? '') % sampledOneIn === 0) {
+			logger.request('request answered', {...fields, status: outcome.result.status});
+		}
+	}
+
+	#routeOf(req: ProxyRequest): Route | undefined {
+		const [path] = req.target.split('?', 1);
+		return this.#options.steering.match(req.host, path!);
+	}
+
+	async #handle(req: ProxyRequest, route: Route | undefined): Promise<ProxyOutcome> {
 		const {steering, quarantine} = this.#options;
 		const table = steering.routes;
 		if (table === undefined) {
 			return {kind: 'not_run', reason: 'not_ready', retryAfterMs: noConfigurationRetryMs};
 		}
 
-		const [path] = req.target.split('?', 1);
-		const route = steering.match(req.host, path!);
 		const service = route === undefined ? undefined : steering.serviceOf(route);
 		if (route === undefined || service === undefined) {
 			return {kind: 'invalid', reason: 'no_route'};
@@ -220,8 +239,15 @@
 		}
 
 		if (result.kind !== 'whole' && result.kind !== 'partial') {
-			logger.info('a send brought no answer', {
-				request: req.requestId, instance: id, address, result: result.kind, detail: 'detail' in result ? result.detail : '', tookMs: Math.round(nowMs - startMs),
+			logger.request('a send brought no answer', {
+				request: req.requestId,
+				instance: id,
+				address,
+				isRepeat: passage.plan.isRepeat,
+				remainingMs: Math.round(deadlineMs - startMs),
+				result: result.kind,
+				detail: 'detail' in result ? result.detail : '',
+				tookMs: Math.round(nowMs - startMs),
 			});
 		}
 
--- a/tools/child.ts
+++ b/tools/child.ts
@@ -5,7 +5,7 @@
 type ChildOptions = {
 	readonly script: string;
 	readonly args: readonly string[];
-	/** File for the child's standard error; nothing is kept without one. */
+	/** File for what the child writes; nothing is kept without one. */
 	readonly logFile?: string;
 	/** Waits for a line `ready` on standard output. */
 	readonly waitsForReady: boolean;
@@ -15,9 +15,12 @@
 export class Child {
 	/** Starts a process with this Node.js. */
 	static async start(options: ChildOptions): Promise<Child> {
-		const child = spawn(process.execPath, [options.script, ...options.args], {stdio: ['ignore', options.waitsForReady ? 'pipe' : 'ignore', options.logFile === undefined ? 'ignore' : 'pipe']});
+		const isLogged = options.logFile !== undefined;
+		const child = spawn(process.execPath, [options.script, ...options.args], {stdio: ['ignore', options.waitsForReady || isLogged ? 'pipe' : 'ignore', isLogged ? 'pipe' : 'ignore']});
 		if (options.logFile !== undefined) {
-			child.stderr?.pipe(createWriteStream(options.logFile, {flags: 'a'}));
+			const file = createWriteStream(options.logFile, {flags: 'a'});
+			child.stdout?.pipe(file, {end: false});
+			child.stderr?.pipe(file, {end: false});
 		}
 
 		const handle = new Child(child);
