Overloaded instances are emptied at once; regions tell which instances are busy with their own

Regions that lent each other room saw how they used each other's instances, not how busy these were with their own. Change: up to six objects leave an instance that is asked for more than its slots in a tick, two seconds after a move; a region tells what its requests use at all instances, its own too.

--- a/src/contracts/region-load.ts
+++ b/src/contracts/region-load.ts
@@ -11,7 +11,7 @@
 	reserved: z.array(z.string()),
 	/** Route of a service, and the time of its requests at a warm instance in milliseconds. */
 	times: z.array(z.tuple([z.string(), z.number().min(0)])),
-	/** Instance of another region, and the slots that this region's requests keep busy there. */
+	/** Instance, here or in another region, and the slots that this region's requests keep busy there. */
 	uses: z.array(z.tuple([z.string(), z.number().min(0)])),
 });
 
--- a/src/decisions/placement-plan.test.ts
+++ b/src/decisions/placement-plan.test.ts
@@ -65,6 +65,30 @@
 		expect(Math.max(...counts)).toBeLessThanOrEqual(9);
 	});
 
+	it('empties an overloaded instance within seconds', () => {
+		const plan = new PlacementPlan({region: 'a'}, 1, new Map(objects.map((object, index) => [objectId('s', 0, object), index < 16 ? 'a0' : `a${1 + (index % 3)}`])), 0);
+		play(plan, {
+			instances: instancesOf('a', 4), objects, perSecond: 4, fromMs: 0, forMs: 6000,
+		});
+		const counts = ['a0', 'a1', 'a2', 'a3'].map(id => placed(plan).filter(other => other === id).length);
+		expect(Math.max(...counts)).toBeLessThanOrEqual(9);
+	});
+
+	it('sends objects to the instances of another region that are not busy with its own', () => {
+		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
+		const instances = [...instancesOf('a', 2), ...instancesOf('b', 4)];
+		for (let fromMs = 0; fromMs < 30_000; fromMs += 1000) {
+			plan.hear({...wordOf('b', 12, 4, 4), uses: [['b0', 3], ['b1', 3]]}, fromMs);
+			play(plan, {
+				instances, objects, perSecond: 4, fromMs, forMs: 1000,
+			});
+		}
+
+		const away = placed(plan).filter(id => id.startsWith('b'));
+		expect(away.length).toBeGreaterThan(2);
+		expect(away.filter(id => id === 'b0' || id === 'b1')).toEqual([]);
+	});
+
 	it('moves objects away from a busy region slowly, and only as far as another one offers', () => {
 		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
 		const instances = [...instancesOf('a', 2), ...instancesOf('b', 4)];
--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -88,10 +88,14 @@
 /** Busy share of an instance above which objects move away if another is less busy by the margin. */
 const busyShare = 0.7;
 const marginShare = 0.25;
-/** Objects of one service that move within the region at a tick: each move costs a run that is not warm. */
-const movesPerTick = 1;
-/** Time for which an object stays after a move, in milliseconds. */
+/** Busy share of an instance above which its queue grows: more objects leave it at once, and sooner after a move. */
+const overloadShare = 1;
+/** Objects of one service that move within the region at a tick, in total and from instances that are not overloaded: each move costs a run that is not warm. */
+const movesPerTick = 6;
+const usualMovesPerTick = 1;
+/** Time for which an object stays after a move, in milliseconds; at an overloaded instance, the shorter one. */
 const settleMs = 6000;
+const overloadSettleMs = 2000;
 /** Slots below which an object's requests count for nothing when instances are divided. */
 const leastDemand = 0.001;
 /** Busy share of the instances for the most urgent requests above which there are more of them, and below which fewer. */
@@ -189,7 +193,12 @@
 	/** What to tell the other regions' planners. */
 	regionLoad(): RegionLoad {
 		return {
-			region: this.#options.region, pools: this.#pools, reserved: [...this.#reserved], offers: this.#offers, uses: [...this.#uses], times: [...this.#routeMs],
+			region: this.#options.region,
+			pools: this.#pools,
+			reserved: [...this.#reserved],
+			offers: this.#offers,
+			uses: [...this.#uses].map(([id, slots]) => [id, round(slots)]),
+			times: [...this.#routeMs],
 		};
 	}
 
@@ -512,20 +521,22 @@
 		return this.#byDemand(there, nowMs)[0];
 	}
 
-	/** Moves objects from the busiest instance of the region to the least busy one. */
+	/** Moves objects from the busiest instances of the region to the least busy ones. */
 	#level(picture: PoolPicture, nowMs: number): void {
 		const own = this.#ownOf(picture.instances);
 		for (let moves = 0; moves < movesPerTick && own.length > 1; moves++) {
 			const from = own.toSorted((a, b) => share(picture, b) - share(picture, a))[0]!;
 			const to = leastBusy(picture, own)!;
 			const gap = share(picture, from) - share(picture, to);
-			if (share(picture, from) < busyShare || gap < marginShare) {
+			const isOverloaded = share(picture, from) > overloadShare;
+			if (share(picture, from) < busyShare || gap < marginShare || (moves >= usualMovesPerTick && !isOverloaded)) {
 				return;
 			}
 
+			const stayMs = isOverloaded ? overloadSettleMs : settleMs;
 			const room = gap * to.slots / 2;
 			const fitting = picture.objects.filter(item =>
-				item.instanceId === from.id && nowMs - item.movedMs > settleMs && this.#demand(item, nowMs) > 0 && this.#demand(item, nowMs) <= room);
+				item.instanceId === from.id && nowMs - item.movedMs > stayMs && this.#demand(item, nowMs) > 0 && this.#demand(item, nowMs) <= room);
 			const [object] = this.#byDemand(fitting, nowMs);
 			if (object === undefined) {
 				return;
@@ -549,13 +560,13 @@
 		object.version = this.#version;
 	}
 
-	/** Notes what other regions may use here, and what this region uses there. */
+	/** Notes what other regions may use here, and what this region uses anywhere. */
 	#account(picture: PoolPicture, nowMs: number): void {
 		const own = this.#ownOf(picture.instances);
 		const slots = own.reduce((sum, instance) => sum + instance.slots, 0);
 		for (const object of picture.objects) {
 			const instance = picture.byId.get(object.instanceId);
-			if (instance !== undefined && instance.region !== this.#options.region) {
+			if (instance !== undefined) {
 				this.#uses.set(instance.id, (this.#uses.get(instance.id) ?? 0) + this.#demand(object, nowMs));
 			}
 		}
@@ -584,6 +595,11 @@
 	}
 }
 
+/** Slots to a hundredth, as other regions are told. */
+function round(slots: number): number {
+	return Math.round(slots * 100) / 100;
+}
+
 /** The first of the lists that holds anything. */
 function firstFilled(...lists: ReadonlyArray<readonly PlanInstance[]>): readonly PlanInstance[] {
 	return lists.find(list => list.length > 0) ?? [];
