A request's own run time decides whether it can still be served; urgent ones try another instance

Change: the run time is that of the request's route; the most urgent that would be refused go to the instance of the region at which they wait least; the other hosts are taken to send at this host's rate, less half a standard deviation, and one more for each own send.

--- a/src/decisions/instance-queue.ts
+++ b/src/decisions/instance-queue.ts
@@ -1,6 +1,8 @@
 /** Load that an instance tells of itself with an answer. */
 type ToldLoad = {readonly running: number; readonly waiting: number; readonly slots: number};
 
+/** Time constant of this host's rate of sends, in milliseconds. */
+const memoryMs = 2000;
 /** Weight of a new time in the estimate of a request's time at the instance. */
 const runWeight = 0.1;
 /** Least part of an answer's time that counts as its run, however long the wait was expected to be. */
@@ -8,22 +10,23 @@
 
 /**
  * The queue of an instance that serves first come, first served: as its latest answer told it, plus what this host sent
- * since, less what the instance has worked off in the meantime. Other hosts are taken to send as this one does.
+ * since, less what the instance has worked off in the meantime. Other hosts are taken to send at this one's rate.
  */
 export class InstanceQueue {
 	#load: ToldLoad | undefined;
 	#toldMs = 0;
 	#sentSince = 0;
-	#runMs: number | undefined;
-
+	/** Sends of this host, decaying with the memory's time constant. */
+	#sends = 0;
+	#sendsMs = 0;
 	/** Mean time of a request at the instance without its wait, in milliseconds; `undefined` before the first answer. */
-	get runMs(): number | undefined {
-		return this.#runMs;
-	}
+	#runMs: number | undefined;
 
 	/** Counts a request that this host sends. */
-	sent(): void {
+	sent(nowMs: number): void {
 		this.#sentSince++;
+		this.#sends = this.#sendsAt(nowMs) + 1;
+		this.#sendsMs = nowMs;
 	}
 
 	/** Takes in an answer: the load it tells, the time since the send, and the wait that was expected at the send, in milliseconds. */
@@ -47,8 +50,16 @@
 		}
 
 		const {running, waiting, slots} = this.#load;
-		const queued = waiting + (senders * this.#sentSince) - Math.max(0, slots - running);
+		// Few own sends say little about the others' rate: as much is assumed as is likely, and one more send for each own one.
+		const sends = this.#sendsAt(nowMs);
+		const likelySends = Math.max(0, sends - (Math.sqrt(sends) / 2));
+		const others = (senders - 1) * ((this.#sentSince / senders) + (likelySends * (nowMs - this.#toldMs) / memoryMs));
+		const queued = waiting + this.#sentSince + others - Math.max(0, slots - running);
 		const perRequestMs = this.#runMs / Math.max(1, slots);
 		return Math.max(0, (queued * perRequestMs) - (nowMs - this.#toldMs));
 	}
+
+	#sendsAt(nowMs: number): number {
+		return this.#sends * Math.exp(-(nowMs - this.#sendsMs) / memoryMs);
+	}
 }
--- a/src/decisions/overload.test.ts
+++ b/src/decisions/overload.test.ts
@@ -13,7 +13,6 @@
 const slots = 3;
 const queueLimit = 9;
 const instanceIds = ['i1', 'i2'];
-const hostCount = 4;
 const delayMs = 1;
 const capacityPerSecond = instanceIds.length * slots * 1000 / runMs;
 
@@ -68,17 +67,17 @@
 }
 
 /** Plays a load on two instances through several hosts; answers the share of the offered requests that ended in each way. */
-function play(offered: number, seconds: number): {readonly inTime: number; readonly late: number; readonly refused: number} {
+function play(offered: number, seconds: number, hostCount = 4): {readonly inTime: number; readonly late: number; readonly refused: number} {
 	const random = new SeededRandom(7);
 	const agenda = new Agenda();
 	const instances = new Map(instanceIds.map(id => [id, new QueuedInstance()]));
-	const hosts = Array.from({length: hostCount}, (_, index) => createHost(index));
+	const hosts = Array.from({length: hostCount}, (_, index) => createHost(index, hostCount));
 	const counts = {inTime: 0, late: 0, refused: 0};
 
 	function send(index: number, arrivedMs: number): void {
 		const {placement} = hosts[index]!;
 		const choice = placement.choose({
-			service: 's', objectKey: `k${random.below(20)}`, priority: 0, isRepeatable: true, allowedRegions: [], avoid: new Set(), coldPerSecond: 0, leftMs: timeoutMs,
+			service: 's', objectKey: `k${random.below(20)}`, priority: 0, isRepeatable: true, allowedRegions: [], avoid: new Set(), coldPerSecond: 0, leftMs: timeoutMs, runMs,
 		}, arrivedMs);
 		if (choice.kind !== 'instance') {
 			counts.refused++;
@@ -86,7 +85,7 @@
 		}
 
 		const {entry: {queue, instance: {id}}, waitMs: expectedWaitMs} = choice;
-		queue.sent();
+		queue.sent(arrivedMs);
 		const instance = instances.get(id)!;
 		const startedRun = (startMs: number) => {
 			const tookMs = runMs * (0.85 + (0.3 * random.next()));
@@ -131,7 +130,7 @@
 	};
 }
 
-function createHost(index: number): {readonly placement: Placement} {
+function createHost(index: number, hostCount: number): {readonly placement: Placement} {
 	const table = new InstanceTable({regionOf: new Map([['a-1', 'a']])});
 	for (const id of instanceIds) {
 		table.write({
@@ -162,6 +161,12 @@
 		expect(inTime).toBeGreaterThan(0.95);
 	});
 
+	it('refuse as little when there are many of them, each with few requests', () => {
+		const {refused, inTime} = play(0.8, 30, 40);
+		expect(refused).toBeLessThan(0.03);
+		expect(inTime).toBeGreaterThan(0.95);
+	});
+
 	for (const offered of [1.2, 1.5, 2, 3]) {
 		it(`answer as many requests in time at ${offered} times what the slots give as at once that`, () => {
 			const usual = play(1, 30);
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -44,6 +44,8 @@
 	readonly coldPerSecond: number;
 	/** Time that is left for any answer, in milliseconds. */
 	readonly leftMs: number;
+	/** Time that a run of the route usually takes, in milliseconds. */
+	readonly runMs: number;
 };
 
 /** Where a request goes now, with the wait to expect there; `busy`: it would wait too long wherever it may run. Times are in milliseconds. */
@@ -83,7 +85,18 @@
 			return this.#take(preferred, req, nowMs) ? {kind: 'instance', entry: preferred, waitMs} : {kind: 'none'};
 		}
 
-		return {kind: 'busy', excessMs};
+		const other = isMostUrgent(req.priority, this.#options.prioritiesOf(req.service)) ? this.#leastWaiting(allowed, req, nowMs) : undefined;
+		return other !== undefined && this.#take(other.entry, req, nowMs) ? {kind: 'instance', ...other} : {kind: 'busy', excessMs};
+	}
+
+	/** The instance of the own region at which a request waits least, if its run ends in time there. */
+	#leastWaiting(allowed: readonly Candidate[], req: PlacementRequest, nowMs: number): {readonly entry: Candidate; readonly waitMs: number} | undefined {
+		const [least] = allowed
+			.filter(entry => entry.region === this.#options.region && this.#isUsable(entry, req, nowMs))
+			.map(entry => ({entry, waitMs: this.#waitMs(entry, nowMs)}))
+			.filter(({entry, waitMs}) => waitMs <= this.#allowedWaitMs(entry, allowed, req))
+			.toSorted((a, b) => a.waitMs - b.waitMs);
+		return least;
 	}
 
 	/** The hosts of this region send to an instance alike; those of others are few in comparison. */
@@ -94,7 +107,7 @@
 
 	/** Time that a request may wait at an instance, in milliseconds: as long as its run still ends in time, and little where more urgent ones would queue behind it. */
 	#allowedWaitMs(entry: Candidate, allowed: readonly Candidate[], req: PlacementRequest): number {
-		const untilTooLateMs = Math.max(0, req.leftMs - (entry.queue.runMs ?? 0));
+		const untilTooLateMs = Math.max(0, req.leftMs - req.runMs);
 		return this.#isNeededByUrgent(entry, allowed, req) ? Math.min(untilTooLateMs, yieldPart * this.#options.urgentTargetMs(req.service)) : untilTooLateMs;
 	}
 
--- a/src/decisions/sending.test.ts
+++ b/src/decisions/sending.test.ts
@@ -180,7 +180,7 @@
 			reservationOf: () => undefined,
 		});
 		const decide = (objectKey: string | undefined, fields: Partial<Parameters<Placement['choose']>[0]> = {}, nowMs = 0) => placement.choose({
-			service: 's', objectKey, priority: 0, isRepeatable: true, allowedRegions: [], avoid: new Set(), coldPerSecond: 12, leftMs: 400, ...fields,
+			service: 's', objectKey, priority: 0, isRepeatable: true, allowedRegions: [], avoid: new Set(), coldPerSecond: 12, leftMs: 400, runMs: 150, ...fields,
 		}, nowMs);
 		const choose = (...args: Parameters<typeof decide>) => {
 			const choice = decide(...args);
@@ -298,6 +298,26 @@
 			expect(choose('k', {}, 51)).toBe('i1');
 		});
 
+		it('is not taken to run as long as others do there', () => {
+			const {table, choose} = setUpBusy();
+			table.get('i1')!.queue.answered({running: 3, waiting: 0, slots: 3}, 3000, 0, 0);
+			expect(choose('k', {leftMs: 1200})).toBe('i1');
+		});
+
+		it('is sent to another instance of the region when it is of the most urgent', () => {
+			const {table, choose} = setUp(new Map([[objectId('s', 0, 'k'), 'i1'], [objectId('s', 2, 'k'), 'i1']]), false, undefined, [0, 2]);
+			for (const [id, zone] of [['i1', 'a-1'], ['i2', 'a-1'], ['b1', 'b-1']] as const) {
+				table.write(instance(id, {zone}), 0);
+				table.get(id)!.queue.answered(idle, 150, 0, 0);
+			}
+
+			table.get('i1')!.queue.told(full, 0);
+			expect(choose('k', {priority: 2})).toBeUndefined();
+			expect(choose('k')).toBe('i2');
+			table.get('i2')!.queue.told(full, 0);
+			expect(choose('k')).toBeUndefined();
+		});
+
 		it('does not queue where more urgent requests would queue behind it', () => {
 			const {table, choose} = setUp(undefined, false, undefined, [0, 2]);
 			table.write(instance('only'), 0);
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -6,6 +6,7 @@
 import {type Placement} from '../decisions/placement.js';
 import {hashText} from '../decisions/hash-text.js';
 import {type RetryShare} from '../decisions/retry-share.js';
+import {RouteTimes} from '../decisions/route-times.js';
 import {type SeededRandom} from '../decisions/seeded-random.js';
 import {SendPlan} from '../decisions/send-plan.js';
 import {fingerprintOf} from './fingerprint-of.js';
@@ -67,6 +68,7 @@
 /** Brings a client's request for a published route to one of its instances and back. */
 export class ProxyService {
 	readonly #options: ProxyOptions;
+	readonly #routeTimes = new RouteTimes();
 	#inFlight = 0;
 
 	constructor(options: ProxyOptions) {
@@ -222,6 +224,7 @@
 			avoid: tried,
 			coldPerSecond: coldLimit(steering.routes?.services.get(service)?.coldPerSecond ?? 0),
 			leftMs: deadlineMs - nowMs,
+			runMs: this.#routeTimes.get(routeKey(service, route)),
 		}, nowMs);
 	}
 
@@ -231,7 +234,7 @@
 		const {id, address} = entry.instance;
 		const startMs = clock.nowMs();
 		entry.health.started(startMs);
-		entry.queue.sent();
+		entry.queue.sent(startMs);
 		const result = await client.send({
 			address,
 			instanceId: id,
@@ -247,6 +250,10 @@
 		metrics.observe('instance_seconds', {service, result: result.kind}, nowMs - startMs);
 		entry.health.ended(toSendEnd(result), nowMs);
 		this.#noteCrashSign(passage, id, result);
+		if ('info' in result && result.kind !== 'not_run') {
+			this.#routeTimes.learn(routeKey(service, passage.route), Math.max(0, nowMs - startMs - expectedWaitMs));
+		}
+
 		noteLoad(entry, result, {tookMs: nowMs - startMs, expectedWaitMs, nowMs});
 		if ('info' in result && result.kind !== 'not_run' && (result.info.load?.waiting ?? 0) === 0) {
 			this.#options.planner.countAnswer(service, passage.route.prefix, nowMs - startMs);
@@ -288,6 +295,11 @@
 	}
 }
 
+/** Names a route of a service among the times that are learned. */
+function routeKey(service: string, route: Route): string {
+	return `${service}|${route.prefix}`;
+}
+
 /** Takes in the load that an answer or a refusal tells of its instance. */
 function noteLoad({queue}: Entry, result: InstanceResult, {tookMs, expectedWaitMs, nowMs}: {readonly tookMs: number; readonly expectedWaitMs: number; readonly nowMs: number}): void {
 	if (!('info' in result) || result.info.load === undefined) {
