Instances that two hosts find slow have room by their speed

Ruled out: links, overload, crashes, the store. Change: hosts compare runs with the usual time of their route, for objects that the same instance answered before, and runs under way with what they should have taken; the planner divides a slow instance's slots by its slowness once two hosts agree.

--- a/src/decisions/placement-plan.test.ts
+++ b/src/decisions/placement-plan.test.ts
@@ -5,17 +5,24 @@
 
 type Instances = Parameters<PlacementPlan['tick']>[0]['instances'];
 
+type PlayOptions = {readonly instances: Instances; readonly objects: readonly string[]; readonly perSecond: number; readonly fromMs: number; readonly forMs: number};
+
 const tickMs = 500;
 
 /** Plays a steady load: each object is asked for `perSecond` times a second, and a request takes 100 ms. */
-function play(plan: PlacementPlan, options: {instances: Instances; objects: readonly string[]; perSecond: number; fromMs: number; forMs: number}, onTick: () => void = () => undefined): void {
+function play(plan: PlacementPlan, options: PlayOptions, onTick: (nowMs: number) => void = () => undefined): void {
 	const {instances, objects, perSecond, fromMs, forMs} = options;
 	for (let nowMs = fromMs; nowMs < fromMs + forMs; nowMs += tickMs) {
 		plan.report({
-			haveVersion: 0, known: [], routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', 0, object, Math.max(1, Math.round(perSecond * tickMs / 1000)), []]),
+			haveVersion: 0,
+			known: [],
+			host: 'h1',
+			slow: [],
+			routes: [['s', '/r/', 100]],
+			objects: objects.map(object => ['s', '/r/', 0, object, Math.max(1, Math.round(perSecond * tickMs / 1000)), []]),
 		}, nowMs);
 		plan.tick({instances, priorities: new Map(), hosts: new Map()}, nowMs);
-		onTick();
+		onTick(nowMs);
 	}
 }
 
@@ -35,7 +42,7 @@
 		for (let tick = 0; tick < 400; tick++) {
 			const isCold = random.next() < 0.1;
 			plan.report({
-				haveVersion: 0, known: [], routes: [['s', '/r/', (isCold ? 900 : 270) * (0.8 + (0.4 * random.next()))]], objects: [],
+				haveVersion: 0, known: [], host: 'h1', slow: [], routes: [['s', '/r/', (isCold ? 900 : 270) * (0.8 + (0.4 * random.next()))]], objects: [],
 			}, tick * tickMs);
 		}
 
@@ -89,6 +96,43 @@
 		expect(away.filter(id => id === 'b0' || id === 'b1')).toEqual([]);
 	});
 
+	describe('with a slow instance', () => {
+		const instances = instancesOf('a', 4);
+
+		function playSlow(plan: PlacementPlan, hosts: readonly string[], fromMs: number, forMs: number): void {
+			play(plan, {
+				instances, objects, perSecond: 2, fromMs, forMs,
+			}, nowMs => {
+				for (const host of hosts) {
+					plan.report({
+						haveVersion: 0, known: [], host, slow: [['a0', 6]], routes: [], objects: [],
+					}, nowMs);
+				}
+			});
+		}
+
+		const countAt = (plan: PlacementPlan, instanceId: string) => placed(plan).filter(id => id === instanceId).length;
+
+		it('sends it what it can still serve, once two hosts find it slow', () => {
+			const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
+			playSlow(plan, [], 0, 8000);
+			const before = countAt(plan, 'a0');
+			playSlow(plan, ['h1'], 8000, 3000);
+			expect(countAt(plan, 'a0')).toBe(before);
+			playSlow(plan, ['h1', 'h2'], 11_000, 3000);
+			expect(countAt(plan, 'a0')).toBeLessThanOrEqual(2);
+		});
+
+		it('uses it again when nobody says so any longer', () => {
+			const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
+			playSlow(plan, ['h1', 'h2'], 0, 10_000);
+			play(plan, {
+				instances, objects, perSecond: 4, fromMs: 10_000, forMs: 20_000,
+			});
+			expect(countAt(plan, 'a0')).toBeGreaterThan(2);
+		});
+	});
+
 	it('moves objects away from a busy region slowly, and only as far as another one offers', () => {
 		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
 		const instances = [...instancesOf('a', 2), ...instancesOf('b', 4)];
@@ -119,7 +163,7 @@
 		const plans = ['a', 'b'].map(region => new PlacementPlan({region}, 1, new Map(), 0));
 		for (const plan of plans) {
 			plan.report({
-				haveVersion: 0, known: [], routes: [], objects: objects.map(object => ['s', '/r/', 0, object, 1, []]),
+				haveVersion: 0, known: [], host: 'h1', slow: [], routes: [], objects: objects.map(object => ['s', '/r/', 0, object, 1, []]),
 			}, 0);
 			plan.tick({instances, priorities: new Map(), hosts}, 0);
 		}
@@ -146,7 +190,7 @@
 		for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
 			plan.hear(wordOf('b', 12, 0, 12), nowMs);
 			plan.report({
-				haveVersion: 0, known: [], routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', 0, object, 4, ['a']]),
+				haveVersion: 0, known: [], host: 'h1', slow: [], routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', 0, object, 4, ['a']]),
 			}, nowMs);
 			plan.tick({instances: nowMs < 10_000 ? instances : instances.slice(1), priorities: new Map(), hosts: new Map()}, nowMs);
 			expect(placed(plan).some(id => id.startsWith('b'))).toBe(false);
@@ -158,7 +202,9 @@
 		play(plan, {
 			instances: instancesOf('a', 2), objects, perSecond: 1, fromMs: 0, forMs: 1000,
 		});
-		const empty = {known: [], routes: [], objects: []};
+		const empty = {
+			known: [], host: 'h1', slow: [], routes: [], objects: [],
+		};
 		const whole = plan.report({...empty, haveVersion: 0}, 1000);
 		expect(whole.entries).toHaveLength(objects.length);
 		expect(plan.report({...empty, haveVersion: whole.version}, 1000).entries).toEqual([]);
@@ -169,7 +215,7 @@
 		const instances = instancesOf('a', 4);
 		const known = objects.map((object, index): [string, string] => [objectId('s', 0, object), `a${index % 4}`]);
 		const word = {
-			haveVersion: 5000, known, routes: [], objects: objects.map((object): [string, string, number, string, number, string[]] => ['s', '/r/', 0, object, 1, []]),
+			haveVersion: 5000, known, host: 'h1', slow: [], routes: [], objects: objects.map((object): [string, string, number, string, number, string[]] => ['s', '/r/', 0, object, 1, []]),
 		};
 
 		it('goes on from the latest assignments that a host knows', () => {
@@ -208,6 +254,8 @@
 			plan.report({
 				haveVersion: 0,
 				known: [],
+				host: 'h1',
+				slow: [],
 				routes: [['s', '/urgent/', 50], ['s', '/slow/', 500]],
 				objects: objects.flatMap(object => [['s', '/urgent/', 0, object, 1, []], ['s', '/slow/', 2, object, 1, []]] as Array<[string, string, number, string, number, string[]]>),
 			}, nowMs);
@@ -228,7 +276,7 @@
 		function playBoth(plan: PlacementPlan, slow: number, forMs: number, onTick: (nowMs: number) => void): void {
 			for (let nowMs = 0; nowMs < forMs; nowMs += tickMs) {
 				plan.report({
-					haveVersion: 0, known: [], routes: [['s', '/urgent/', 20], ['s', '/slow/', 100]], objects: requests(slow),
+					haveVersion: 0, known: [], host: 'h1', slow: [], routes: [['s', '/urgent/', 20], ['s', '/slow/', 100]], objects: requests(slow),
 				}, nowMs);
 				plan.tick({instances, priorities: new Map(), hosts: new Map()}, nowMs);
 				onTick(nowMs);
@@ -269,7 +317,7 @@
 			for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
 				plan.hear(wordOf('b', 12, 0, 12), nowMs);
 				plan.report({
-					haveVersion: 0, known: [], routes: [['s', '/urgent/', 20], ['s', '/slow/', 20]], objects: requests(1).slice(0, 8),
+					haveVersion: 0, known: [], host: 'h1', slow: [], routes: [['s', '/urgent/', 20], ['s', '/slow/', 20]], objects: requests(1).slice(0, 8),
 				}, nowMs);
 				plan.tick({instances, priorities: new Map(), hosts: new Map()}, nowMs);
 			}
--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -8,6 +8,7 @@
 import {RegionWords} from './region-words.js';
 import {rendezvousOrder} from './rendezvous-order.js';
 import {RouteTimes} from './route-times.js';
+import {SlowInstances} from './slow-instances.js';
 import {startRegion} from './start-region.js';
 import {urgentOrder} from './urgent-order.js';
 
@@ -72,6 +73,7 @@
 	readonly #assignments: ObjectAssignments;
 	readonly #times = new RouteTimes();
 	readonly #words: RegionWords;
+	readonly #slow = new SlowInstances();
 	readonly #startMs: number;
 	#lastTickMs: number | undefined;
 	#shiftCredit = 0;
@@ -104,6 +106,10 @@
 			this.#times.learn(`${service}|${route}`, shortestMs);
 		}
 
+		for (const [instanceId, slowness] of report.slow) {
+			this.#slow.hear(instanceId, report.host, slowness, nowMs);
+		}
+
 		for (const [service, route, priority, objectKey, requests, allowedRegions] of report.objects) {
 			const object = this.#assignments.obtain(service, priority, objectKey, nowMs);
 			object.demand.count(`${service}|${route}`, requests, nowMs);
@@ -149,7 +155,9 @@
 		this.#priorities = priorities;
 		this.#sizes = new Map(instances.map(({service}) => [service, regionSizes(instances.filter(instance => instance.service === service), hosts)]));
 		const services = new Set(instances.map(instance => instance.service));
-		const pools = [...services].flatMap(service => this.#poolsOf(service, instances, nowMs));
+		// An instance that takes three times as long has a third of the room.
+		const rated = instances.map(instance => ({...instance, slots: instance.slots / this.#slow.slownessOf(instance.id, nowMs)}));
+		const pools = [...services].flatMap(service => this.#poolsOf(service, rated, nowMs));
 		const rate = pools.flatMap(pool => pool.objects).reduce((sum, object) => sum + object.demand.rate(nowMs), 0);
 		this.#shiftCredit = Math.min(shiftAtOnce * rate, this.#shiftCredit + (shiftPerSecond * rate * elapsedMs / 1000));
 		for (const pool of pools) {
--- a/src/services/planner-service.ts
+++ b/src/services/planner-service.ts
@@ -5,6 +5,7 @@
 import {type InstanceTable} from '../decisions/instance-table.js';
 import {objectId} from '../decisions/object-id.js';
 import {memberKey} from '../decisions/member-key.js';
+import {InstanceSpeeds} from '../decisions/instance-speeds.js';
 import {PlacementPlan} from '../decisions/placement-plan.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
 import {type Logger} from './logger.js';
@@ -39,6 +40,8 @@
 
 /** Reports to the region's planner which objects are asked for, and plans if this host is the one. */
 export class PlannerService {
+	/** Speeds of the region's instances, as this host's requests find them. */
+	readonly speeds = new InstanceSpeeds();
 	readonly #options: PlannerOptions;
 	readonly #assignments = new Map<string, string>();
 	readonly #requests = new Map<string, ObjectRequest & {count: number}>();
@@ -132,7 +135,8 @@
 		}
 
 		this.#ticksSinceReport++;
-		const isDue = this.#ticksSinceReport >= ticksPerQuietReport || [...this.#requests.values()].some(req => !this.#assignments.has(objectId(req.service, req.priority, req.objectKey)));
+		const hasUnassigned = [...this.#requests.values()].some(req => !this.#assignments.has(objectId(req.service, req.priority, req.objectKey)));
+		const isDue = this.#ticksSinceReport >= ticksPerQuietReport || hasUnassigned || this.speeds.slow(clock.nowMs()).length > 0;
 		if (!this.#isReporting && isDue) {
 			this.#ticksSinceReport = 0;
 			void this.#report(isPlanner);
@@ -155,6 +159,8 @@
 		const plannerKey = memberKey(planner);
 		const report: PlacementReport = {
 			haveVersion: this.#version,
+			host: members.membership.self.id,
+			slow: this.speeds.slow(this.#options.clock.nowMs()),
 			known: plannerKey === this.#plannerKey ? [] : [...this.#assignments],
 			routes: [...this.#answers.values()].map(entry => [entry.service, entry.route, Math.round(entry.shortestMs)]),
 			objects: [...this.#requests.values()].map(entry => [entry.service, entry.route, entry.priority, entry.objectKey, entry.count, [...entry.allowedRegions]]),
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -29,6 +29,8 @@
 	readonly quarantine: QuarantineService;
 	readonly planner: PlannerService;
 	readonly random: SeededRandom;
+	/** Region of this host. */
+	readonly region: string;
 	/** Hosts that may be sending to the same services. */
 	readonly hosts: () => number;
 	/** Requests a second that all hosts together may send to a cold instance that tolerates some. */
@@ -47,6 +49,9 @@
 	readonly tried: Set<string>;
 };
 
+/** Time of a send, the wait that was expected at its start, and the moment of its end, in milliseconds. */
+type Times = {readonly tookMs: number; readonly expectedWaitMs: number; readonly nowMs: number};
+
 type ReadBody = Awaited<ReturnType<ProxyRequest['readBody']>>;
 type SentBody = Extract<ReadBody, {kind: 'none' | 'whole' | 'stream'}>;
 type Entry = NonNullable<ReturnType<InstanceTable['get']>>;
@@ -62,6 +67,8 @@
 /** Part of that time over which returns are spread, so that they do not come as a wave. */
 const retrySpread = 0.5;
 const quarantineRetryMs = 60_000;
+/** Part of the time until a send was given up above which an expected wait explains it. */
+const longWaitPart = 0.5;
 /** One in so many requests that are answered in time is logged. */
 const sampledOneIn = 64;
 
@@ -235,6 +242,7 @@
 		const startMs = clock.nowMs();
 		entry.health.started(startMs);
 		entry.queue.sent(startMs);
+		const pending = this.#notePending(passage, entry, startMs + expectedWaitMs);
 		const result = await client.send({
 			address,
 			instanceId: id,
@@ -246,6 +254,7 @@
 			remainingMs: Math.max(1, deadlineMs - startMs),
 			departure: req.departure,
 		});
+		pending?.end();
 		const nowMs = clock.nowMs();
 		metrics.observe('instance_seconds', {service, result: result.kind}, nowMs - startMs);
 		entry.health.ended(toSendEnd(result), nowMs);
@@ -255,6 +264,7 @@
 		}
 
 		noteLoad(entry, result, {tookMs: nowMs - startMs, expectedWaitMs, nowMs});
+		this.#noteSpeed(passage, entry, result, {tookMs: nowMs - startMs, expectedWaitMs, nowMs});
 		if ('info' in result && result.kind !== 'not_run' && (result.info.load?.waiting ?? 0) === 0) {
 			this.#options.planner.countAnswer(service, passage.route.prefix, nowMs - startMs);
 		}
@@ -275,6 +285,27 @@
 		return result;
 	}
 
+	/** Notes a send to an instance of this region whose speed can be told from its route's other runs. */
+	#notePending({req, route, service}: Passage, {instance, region}: Entry, expectedEndOfWaitMs: number): {readonly end: () => void} | undefined {
+		return route.hasAffinity && req.objectKey !== undefined && region === this.#options.region
+			? this.#options.planner.speeds.started({
+				instanceId: instance.id, route: routeKey(service, route), objectKey: req.objectKey, expectedEndOfWaitMs,
+			})
+			: undefined;
+	}
+
+	/** Tells how fast an instance of this region was; a send that was given up counts with its time if it should not have waited long. */
+	#noteSpeed({req, route, service}: Passage, {instance, region}: Entry, result: InstanceResult, {tookMs, expectedWaitMs, nowMs}: Times): void {
+		const {planner, region: ownRegion} = this.#options;
+		const isWhole = 'info' in result && result.kind !== 'not_run' && (result.info.load?.waiting ?? 0) === 0;
+		const isGivenUp = (result.kind === 'overdue' || result.kind === 'cancelled') && expectedWaitMs < tookMs * longWaitPart;
+		if (route.hasAffinity && req.objectKey !== undefined && region === ownRegion && (isWhole || isGivenUp)) {
+			planner.speeds.count({
+				instanceId: instance.id, route: routeKey(service, route), objectKey: req.objectKey, runMs: tookMs, isEnded: isWhole,
+			}, nowMs);
+		}
+	}
+
 	/** A connection lost while the request ran counts against the request, a whole answer for it. */
 	#noteCrashSign({fingerprint, service}: Passage, instanceId: string, result: InstanceResult): void {
 		const {quarantine} = this.#options;
@@ -301,7 +332,7 @@
 }
 
 /** Takes in the load that an answer or a refusal tells of its instance. */
-function noteLoad({queue}: Entry, result: InstanceResult, {tookMs, expectedWaitMs, nowMs}: {readonly tookMs: number; readonly expectedWaitMs: number; readonly nowMs: number}): void {
+function noteLoad({queue}: Entry, result: InstanceResult, {tookMs, expectedWaitMs, nowMs}: Times): void {
 	if (!('info' in result) || result.info.load === undefined) {
 		return;
 	}
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -250,6 +250,7 @@
 					quarantine: get('quarantine'),
 					planner: get('planner'),
 					random: new SeededRandom(seed + 3),
+					region: settings.host.region,
 					hosts: () => Math.max(get('steering').hosts.size, members.membership.alive().length),
 					coldLimit: perSecond => (perSecond * bounds.coldMultiplier) + bounds.coldTolerance,
 				});
