What sends teach has a module of its own

Change: the second part is SendObserver; nothing is decided otherwise, and the tests are unchanged and pass.

--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -6,7 +6,6 @@
 import {type Placement} from '../decisions/placement.js';
 import {hashText} from '../decisions/hash-text.js';
 import {type RetryShare} from '../decisions/retry-share.js';
-import {RouteTimes} from '../decisions/route-times.js';
 import {type SeededRandom} from '../decisions/seeded-random.js';
 import {SendPlan} from '../decisions/send-plan.js';
 import {fingerprintOf} from './fingerprint-of.js';
@@ -16,6 +15,7 @@
 import {type ProxyOutcome} from './proxy-outcome.js';
 import {type ProxyRequest} from './proxy-request.js';
 import {type QuarantineService} from './quarantine-service.js';
+import {type SendObserver} from './send-observer.js';
 import {type SteeringService} from './steering-service.js';
 
 type ProxyOptions = {
@@ -28,9 +28,8 @@
 	readonly retries: RetryShare;
 	readonly quarantine: QuarantineService;
 	readonly planner: PlannerService;
+	readonly observer: SendObserver;
 	readonly random: SeededRandom;
-	/** Region of this host. */
-	readonly region: string;
 	/** Hosts that may be sending to the same services. */
 	readonly hosts: () => number;
 	/** Requests a second that all hosts together may send to a cold instance that tolerates some. */
@@ -49,9 +48,6 @@
 	readonly tried: Set<string>;
 };
 
-/** Time of a send, the wait that was expected at its start, and the moment of its end, in milliseconds. */
-type Times = {readonly tookMs: number; readonly expectedWaitMs: number; readonly nowMs: number};
-
 type ReadBody = Awaited<ReturnType<ProxyRequest['readBody']>>;
 type SentBody = Extract<ReadBody, {kind: 'none' | 'whole' | 'stream'}>;
 type Entry = NonNullable<ReturnType<InstanceTable['get']>>;
@@ -67,15 +63,12 @@
 /** Part of that time over which returns are spread, so that they do not come as a wave. */
 const retrySpread = 0.5;
 const quarantineRetryMs = 60_000;
-/** Part of the time until a send was given up above which an expected wait explains it. */
-const longWaitPart = 0.5;
 /** One in so many requests that are answered in time is logged. */
 const sampledOneIn = 64;
 
 /** Brings a client's request for a published route to one of its instances and back. */
 export class ProxyService {
 	readonly #options: ProxyOptions;
-	readonly #routeTimes = new RouteTimes();
 	#inFlight = 0;
 
 	constructor(options: ProxyOptions) {
@@ -220,7 +213,7 @@
 	}
 
 	#choose(passage: Passage, nowMs: number): ReturnType<Placement['choose']> {
-		const {placement, steering, coldLimit} = this.#options;
+		const {placement, steering, observer, coldLimit} = this.#options;
 		const {req, route, service, tried, deadlineMs} = passage;
 		return placement.choose({
 			service,
@@ -231,18 +224,18 @@
 			avoid: tried,
 			coldPerSecond: coldLimit(steering.routes?.services.get(service)?.coldPerSecond ?? 0),
 			leftMs: deadlineMs - nowMs,
-			runMs: this.#routeTimes.get(routeKey(service, route)),
+			runMs: observer.runMs(service, route),
 		}, nowMs);
 	}
 
 	async #send(passage: Passage, entry: Entry, expectedWaitMs: number): Promise<InstanceResult> {
-		const {clock, client, metrics, logger} = this.#options;
-		const {req, body, service, deadlineMs} = passage;
+		const {clock, client, observer, logger} = this.#options;
+		const {req, route, body, service, deadlineMs} = passage;
 		const {id, address} = entry.instance;
-		const startMs = clock.nowMs();
-		entry.health.started(startMs);
-		entry.queue.sent(startMs);
-		const pending = this.#notePending(passage, entry, startMs + expectedWaitMs);
+		const remainingMs = Math.max(1, deadlineMs - clock.nowMs());
+		const ended = observer.started({
+			service, route, objectKey: req.objectKey, entry, expectedWaitMs,
+		});
 		const result = await client.send({
 			address,
 			instanceId: id,
@@ -251,61 +244,27 @@
 			target: req.target,
 			headers: req.headers,
 			body: toSent(body),
-			remainingMs: Math.max(1, deadlineMs - startMs),
+			remainingMs,
 			departure: req.departure,
 		});
-		pending?.end();
-		const nowMs = clock.nowMs();
-		metrics.observe('instance_seconds', {service, result: result.kind}, nowMs - startMs);
-		entry.health.ended(toSendEnd(result), nowMs);
+		const tookMs = Math.round(ended(result));
 		this.#noteCrashSign(passage, id, result);
-		if ('info' in result && result.kind !== 'not_run') {
-			this.#routeTimes.learn(routeKey(service, passage.route), Math.max(0, nowMs - startMs - expectedWaitMs));
-		}
-
-		noteLoad(entry, result, {tookMs: nowMs - startMs, expectedWaitMs, nowMs});
-		this.#noteSpeed(passage, entry, result, {tookMs: nowMs - startMs, expectedWaitMs, nowMs});
-		if ('info' in result && result.kind !== 'not_run' && (result.info.load?.waiting ?? 0) === 0) {
-			this.#options.planner.countAnswer(service, passage.route.prefix, nowMs - startMs);
-		}
-
 		if (result.kind !== 'whole' && result.kind !== 'partial') {
 			logger.request('a send brought no answer', {
 				request: req.requestId,
 				instance: id,
 				address,
 				isRepeat: passage.plan.isRepeat,
-				remainingMs: Math.round(deadlineMs - startMs),
+				remainingMs: Math.round(remainingMs),
 				result: result.kind,
 				detail: 'detail' in result ? result.detail : '',
-				tookMs: Math.round(nowMs - startMs),
+				tookMs,
 			});
 		}
 
 		return result;
 	}
 
-	/** Notes a send to an instance of this region whose speed can be told from its route's other runs. */
-	#notePending({req, route, service}: Passage, {instance, region}: Entry, expectedEndOfWaitMs: number): {readonly end: () => void} | undefined {
-		return route.hasAffinity && req.objectKey !== undefined && region === this.#options.region
-			? this.#options.planner.speeds.started({
-				instanceId: instance.id, route: routeKey(service, route), objectKey: req.objectKey, expectedEndOfWaitMs,
-			})
-			: undefined;
-	}
-
-	/** Tells how fast an instance of this region was; a send that was given up counts with its time if it should not have waited long. */
-	#noteSpeed({req, route, service}: Passage, {instance, region}: Entry, result: InstanceResult, {tookMs, expectedWaitMs, nowMs}: Times): void {
-		const {planner, region: ownRegion} = this.#options;
-		const isWhole = 'info' in result && result.kind !== 'not_run' && (result.info.load?.waiting ?? 0) === 0;
-		const isGivenUp = (result.kind === 'overdue' || result.kind === 'cancelled') && expectedWaitMs < tookMs * longWaitPart;
-		if (route.hasAffinity && req.objectKey !== undefined && region === ownRegion && (isWhole || isGivenUp)) {
-			planner.speeds.count({
-				instanceId: instance.id, route: routeKey(service, route), objectKey: req.objectKey, runMs: tookMs, isEnded: isWhole,
-			}, nowMs);
-		}
-	}
-
 	/** A connection lost while the request ran counts against the request, a whole answer for it. */
 	#noteCrashSign({fingerprint, service}: Passage, instanceId: string, result: InstanceResult): void {
 		const {quarantine} = this.#options;
@@ -326,24 +285,6 @@
 	}
 }
 
-/** Names a route of a service among the times that are learned. */
-function routeKey(service: string, route: Route): string {
-	return `${service}|${route.prefix}`;
-}
-
-/** Takes in the load that an answer or a refusal tells of its instance. */
-function noteLoad({queue}: Entry, result: InstanceResult, {tookMs, expectedWaitMs, nowMs}: Times): void {
-	if (!('info' in result) || result.info.load === undefined) {
-		return;
-	}
-
-	if (result.kind === 'not_run') {
-		queue.told(result.info.load, nowMs);
-	} else {
-		queue.answered(result.info.load, tookMs, expectedWaitMs, nowMs);
-	}
-}
-
 function toSent(body: SentBody): Uint8Array | AsyncIterable<Uint8Array> | undefined {
 	switch (body.kind) {
 		case 'whole': {
@@ -384,33 +325,6 @@
 	}
 }
 
-function toSendEnd(result: InstanceResult): Parameters<Entry['health']['ended']>[0] {
-	switch (result.kind) {
-		case 'whole':
-		case 'partial': {
-			return 'answered';
-		}
-
-		case 'not_run': {
-			return result.info.isMisdirected ? 'misdirected' : 'rejected';
-		}
-
-		case 'not_sent': {
-			return 'unreachable';
-		}
-
-		case 'lost': {
-			return 'lost';
-		}
-
-		case 'broken':
-		case 'overdue':
-		case 'cancelled': {
-			return 'overdue';
-		}
-	}
-}
-
 function toUnknownReason(result: InstanceResult): Extract<ProxyOutcome, {kind: 'unknown'}>['reason'] {
 	switch (result.kind) {
 		case 'cancelled': {
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -35,6 +35,7 @@
 import {steeringPeerServer} from './services/steering-peer-server.js';
 import {SteeringRouter} from './services/steering-router.js';
 import {SteeringService} from './services/steering-service.js';
+import {SendObserver} from './services/send-observer.js';
 import {StopService} from './services/stop-service.js';
 
 /** What the operators' platform supplies: its store, and the names and formats that it uses. */
@@ -249,8 +250,10 @@
 					retries: new RetryShare({ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.retryWindowMs}),
 					quarantine: get('quarantine'),
 					planner: get('planner'),
+					observer: new SendObserver({
+						clock: get('clock'), metrics: get('metrics'), planner: get('planner'), region: settings.host.region,
+					}),
 					random: new SeededRandom(seed + 3),
-					region: settings.host.region,
 					hosts: () => Math.max(get('steering').hosts.size, members.membership.alive().length),
 					coldLimit: perSecond => (perSecond * bounds.coldMultiplier) + bounds.coldTolerance,
 				});
