--- a/stand-ins/platform-instance-stand-in.ts
+++ b/stand-ins/platform-instance-stand-in.ts
@@ -14,6 +14,8 @@
 	behaviours: Behaviour[] = ['answer'];
 	/** Time that a request takes, in milliseconds. */
 	workMs = 0;
+	/** What it tells of its load: requests that run, requests that wait, and slots. */
+	load = '1,0,3';
 	readonly #http = new HttpStandIn((req, res) => {
 		void this.#handle(req, res);
 	});
@@ -77,7 +79,7 @@
 
 			case 'answer': {
 				res.writeHead(200, {
-					'X-Request-Id': requestId, 'X-Response-Signature': 's', 'X-Server-Load': '1,0,3', 'X-Kept': 'yes',
+					'X-Request-Id': requestId, 'X-Response-Signature': 's', 'X-Server-Load': this.load, 'X-Kept': 'yes',
 				}).end(`answer to ${requestId}`);
 			}
 		}
--- a/test/steering-daemon.test.ts
+++ b/test/steering-daemon.test.ts
@@ -78,7 +78,17 @@
 	resource_kind: 'routes',
 	metadata: {name},
 	spec: {
-		host: 'shop.example', prefix, route_type: 'safe', timeout_ms: 1000, target_latency_ms: 200, priority: 1, service: 'books', max_attempts: 2, session_affinity: true, allowed_regions: [], ...fields,
+		host: 'shop.example',
+		prefix,
+		route_type: 'safe',
+		timeout_ms: 1000,
+		target_latency_ms: 200,
+		priority: 1,
+		service: 'books',
+		max_attempts: 2,
+		session_affinity: true,
+		allowed_regions: [],
+		...fields,
 	},
 });
 const configuration = (version: number, routes: ReadonlyArray<ReturnType<typeof route>>) => ({
@@ -259,6 +269,20 @@
 			expect(ran()).toEqual([]);
 		});
 
+		it('whose queue is longer than the route\'s timeout get nothing until it has run down', async () => {
+			for (const instance of instances) {
+				instance.workMs = 60;
+				instance.load = '3,600,3';
+			}
+
+			expect(await statusOf('/slow/x')).toBe(200);
+			const before = ran().length;
+			const refused = await request('/slow/x');
+			expect(refused.status).toBe(503);
+			expect(Number(refused.headers['retry-after'])).toBeGreaterThan(0.5);
+			expect(ran().length).toBe(before);
+		});
+
 		it('never run a request twice that may not be repeated', async () => {
 			both('crash');
 			expect(await request('/write/', {method: 'POST', body: 'b'})).toMatchObject({status: 502});
@@ -321,7 +345,8 @@
 		});
 
 		it('that state two lengths run nothing', async () => {
-			const text = await exchange(daemon.host, 'POST /write/ HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: s\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /read/smuggled HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: t\r\n\r\n');
+			const outer = 'POST /write/ HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: s\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n';
+			const text = await exchange(daemon.host, `${outer}GET /read/smuggled HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: t\r\n\r\n`);
 			expect(text).toMatch(/^HTTP\/1.1 400/);
 			expect(ran()).toEqual([]);
 		});
