The most urgent keep their part of many instances

Ruled out: hosts (0.023 cores), links. Change: a region keeps for the most urgent at least their part of the service's load, and a quarter of its instances until loads are known; hosts without a plan assume the same.

--- a/src/decisions/placement-plan.test.ts
+++ b/src/decisions/placement-plan.test.ts
@@ -268,6 +268,44 @@
 		expect(new Set(plan.regionLoad().reserved)).toEqual(urgent);
 	});
 
+	it('keeps as large a part of many idle instances for the most urgent as they have of the load', () => {
+		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
+		const instances = instancesOf('a', 40);
+		for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
+			plan.report({
+				haveVersion: 0,
+				known: [],
+				host: 'h1',
+				slow: [],
+				routes: [['s', '/urgent/', 50], ['s', '/slow/', 150]],
+				objects: objects.flatMap(object => [['s', '/urgent/', 0, object, 1, []], ['s', '/slow/', 2, object, 1, []]] as Array<[string, string, number, string, number, string[]]>),
+			}, nowMs);
+			plan.tick({instances, priorities: new Map(), hosts: new Map()}, nowMs);
+		}
+
+		expect(plan.regionLoad().reserved.length).toBeGreaterThanOrEqual(9);
+		expect(plan.regionLoad().reserved.length).toBeLessThanOrEqual(11);
+	});
+
+	it('keeps a quarter of the instances for the most urgent until their load is known', () => {
+		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
+		const instances = instancesOf('a', 40);
+		const priorities = new Map([['s', [0, 2]]]);
+		const counts: number[] = [];
+		for (let nowMs = 0; nowMs < 6500; nowMs += tickMs) {
+			if (nowMs >= 4000) {
+				plan.report({
+					haveVersion: 0, known: [], host: 'h1', slow: [], routes: [], objects: [['s', '/urgent/', 0, 'k1', 1, []], ['s', '/slow/', 2, 'k1', 1, []]],
+				}, nowMs);
+			}
+
+			plan.tick({instances, priorities, hosts: new Map()}, nowMs);
+			counts.push(plan.regionLoad().reserved.length);
+		}
+
+		expect(Math.min(...counts)).toBeGreaterThanOrEqual(10);
+	});
+
 	describe('with a single instance for all priorities', () => {
 		const instances = [...instancesOf('a', 1), ...instancesOf('b', 4)];
 		const requests = (slow: number) => objects.flatMap(object =>
--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -1,6 +1,7 @@
 import {type PlacementReport} from '../contracts/placement-report.js';
 import {type PlacementUpdate} from '../contracts/placement-update.js';
 import {type RegionLoad} from '../contracts/region-load.js';
+import {initialUrgentCount} from './initial-urgent-count.js';
 import {isMostUrgent} from './is-most-urgent.js';
 import {ObjectAssignments} from './object-assignments.js';
 import {PoolPicture} from './pool-picture.js';
@@ -33,6 +34,16 @@
 	readonly hosts: ReadonlyMap<string, number>;
 };
 
+/** What decides how many instances of a service are kept for its most urgent requests. */
+type Division = {
+	readonly service: string;
+	readonly own: readonly PlanInstance[];
+	/** Objects that are asked for. */
+	readonly asked: readonly PlannedObject[];
+	/** The most urgent priority. */
+	readonly urgent: number;
+};
+
 /** Instances that serve the same objects: those for the most urgent requests of a service, or the rest. */
 type Pool = {readonly picture: PoolPicture; readonly objects: readonly PlannedObject[]};
 
@@ -75,6 +86,8 @@
 	readonly #words: RegionWords;
 	readonly #slow = new SlowInstances();
 	readonly #startMs: number;
+	/** Moment of the first requests for each service, in monotonic milliseconds. */
+	readonly #askedSinceMs = new Map<string, number>();
 	#lastTickMs: number | undefined;
 	#shiftCredit = 0;
 	#reserved: ReadonlySet<string> = new Set();
@@ -205,7 +218,11 @@
 		const urgent = Math.min(...seen);
 		const isMixed = seen.some(priority => priority > urgent);
 		const isShared = own.length < 2 && !(away.length > 0 && this.#isCrowded(own, asked, nowMs));
-		const reserved = isMixed && !isShared ? this.#reserve(service, own, asked.filter(object => object.priority === urgent), nowMs) : [];
+		const reserved = isMixed && !isShared
+			? this.#reserve({
+				service, own, asked, urgent,
+			}, nowMs)
+			: [];
 		this.#noteReserved(instances, reserved);
 		if (reserved.length === 0) {
 			return [this.#pool(`${service}|rest`, [...own, ...away.filter(instance => !this.#words.isReserved(instance))], objects, nowMs)];
@@ -231,17 +248,31 @@
 		return only !== undefined && this.#totalDemand(objects, nowMs) / only.slots > (this.#reserved.has(only.id) ? returnShare : leaveShare);
 	}
 
-	/** Chooses the instances for the most urgent requests; the number follows their load slowly. */
-	#reserve(service: string, own: readonly PlanInstance[], objects: readonly PlannedObject[], nowMs: number): readonly PlanInstance[] {
+	/**
+	 * Chooses the instances for the most urgent requests: enough for their load, and no fewer than their part of it, since an
+	 * instance stays warm for a few objects only. The number follows the load slowly.
+	 */
+	#reserve({service, own, asked, urgent}: Division, nowMs: number): readonly PlanInstance[] {
 		const slots = own.reduce((sum, instance) => sum + instance.slots, 0) / own.length;
-		const demand = this.#totalDemand(objects, nowMs);
+		const demand = this.#totalDemand(asked.filter(object => object.priority === urgent), nowMs);
+		const part = demand === 0 ? 0 : demand / this.#totalDemand(asked, nowMs);
 		const current = own.filter(instance => this.#reserved.has(instance.id)).length;
-		const least = Math.ceil(demand / (reserveBusyShare * slots));
-		const most = Math.ceil(demand / (reserveIdleShare * slots));
-		const count = Math.max(1, Math.min(own.length - 1, Math.max(least, Math.min(most, current))));
+		const least = Math.max(Math.ceil(demand / (reserveBusyShare * slots)), Math.floor(part * own.length));
+		const most = Math.max(Math.ceil(demand / (reserveIdleShare * slots)), least);
+		const initial = this.#isUnknown(service, asked, nowMs) ? initialUrgentCount(own.length) : 1;
+		const count = Math.max(1, Math.min(own.length - 1, Math.max(initial, least, Math.min(most, current))));
 		return urgentOrder(service, own, instance => instance.id).slice(0, count);
 	}
 
+	/** Whether a service's requests came for too short a time to tell its loads. */
+	#isUnknown(service: string, asked: readonly PlannedObject[], nowMs: number): boolean {
+		if (asked.length > 0 && !this.#askedSinceMs.has(service)) {
+			this.#askedSinceMs.set(service, nowMs);
+		}
+
+		return nowMs - (this.#askedSinceMs.get(service) ?? nowMs) < learningMs;
+	}
+
 	#pool(name: string, instances: readonly PlanInstance[], objects: readonly PlannedObject[], nowMs: number): Pool {
 		const picture = new PoolPicture(name, instances, this.#region, id => this.#words.usesOf(id, nowMs));
 		for (const object of objects) {
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -1,5 +1,6 @@
 import {type ColdAllowance} from './cold-allowance.js';
 import {type InstanceTable} from './instance-table.js';
+import {initialUrgentCount} from './initial-urgent-count.js';
 import {isMostUrgent} from './is-most-urgent.js';
 import {objectId} from './object-id.js';
 import {regionSizes} from './region-sizes.js';
@@ -158,8 +159,12 @@
 		}
 
 		const [urgent, next] = prioritiesOf(service).filter((other, index, all) => other !== all[index - 1]);
-		const [kept] = urgentOrder(service, own, entry => entry.instance.id);
-		return next === undefined || own.length < 2 ? [...own] : own.filter(entry => (entry === kept) === (priority === urgent));
+		if (next === undefined || own.length < 2) {
+			return [...own];
+		}
+
+		const kept = new Set(urgentOrder(service, own, entry => entry.instance.id).slice(0, initialUrgentCount(own.length)));
+		return own.filter(entry => kept.has(entry) === (priority === urgent));
 	}
 
 	#first(candidates: readonly Candidate[], req: PlacementRequest, nowMs: number): Candidate | undefined {
