--- a/src/decisions/placement-plan.test.ts
+++ b/src/decisions/placement-plan.test.ts
@@ -31,7 +31,7 @@
 }));
 const objects = Array.from({length: 24}, (_, index) => `k${index}`);
 const placed = (plan: PlacementPlan) => objects.map(object => plan.instanceOf(objectId('s', 0, object)));
-const wordOf = (region: string, slots: number, busy: number, offered: number) => ({
+const loadOf = (region: string, slots: number, busy: number, offered: number) => ({
 	region, pools: [['s|rest', slots, busy] as [string, number, number]], reserved: [], offers: [['s|rest', 'a', offered] as [string, string, number]], uses: [], times: [],
 });
 
@@ -85,7 +85,7 @@
 		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
 		const instances = [...instancesOf('a', 2), ...instancesOf('b', 4)];
 		for (let fromMs = 0; fromMs < 30_000; fromMs += 1000) {
-			plan.hear({...wordOf('b', 12, 4, 4), uses: [['b0', 3], ['b1', 3]]}, fromMs);
+			plan.hear({...loadOf('b', 12, 4, 4), uses: [['b0', 3], ['b1', 3]]}, fromMs);
 			play(plan, {
 				instances, objects, perSecond: 4, fromMs, forMs: 1000,
 			});
@@ -144,7 +144,7 @@
 		let before = 0;
 		let fastest = 0;
 		for (let fromMs = 10_000; fromMs < 40_000; fromMs += 2000) {
-			plan.hear(wordOf('b', 12, 2, 3), fromMs);
+			plan.hear(loadOf('b', 12, 2, 3), fromMs);
 			play(plan, {
 				instances, objects, perSecond: 4, fromMs, forMs: 2000,
 			});
@@ -177,7 +177,7 @@
 
 	it('sends nothing to a region that has fallen silent', () => {
 		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
-		plan.hear(wordOf('b', 12, 0, 6), 0);
+		plan.hear(loadOf('b', 12, 0, 6), 0);
 		play(plan, {
 			instances: [...instancesOf('a', 2), ...instancesOf('b', 4)], objects, perSecond: 4, fromMs: 10_000, forMs: 20_000,
 		});
@@ -188,7 +188,7 @@
 		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
 		const instances = [...instancesOf('a', 1), ...instancesOf('b', 4)];
 		for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
-			plan.hear(wordOf('b', 12, 0, 12), nowMs);
+			plan.hear(loadOf('b', 12, 0, 12), nowMs);
 			plan.report({
 				haveVersion: 0, known: [], host: 'h1', slow: [], routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', 0, object, 4, ['a']]),
 			}, nowMs);
@@ -214,16 +214,16 @@
 	describe('after another planner', () => {
 		const instances = instancesOf('a', 4);
 		const known = objects.map((object, index): [string, string] => [objectId('s', 0, object), `a${index % 4}`]);
-		const word = {
+		const report = {
 			haveVersion: 5000, known, host: 'h1', slow: [], routes: [], objects: objects.map((object): [string, string, number, string, number, string[]] => ['s', '/r/', 0, object, 1, []]),
 		};
 
 		it('goes on from the latest assignments that a host knows', () => {
 			const plan = new PlacementPlan({region: 'a'}, 1000, new Map(), 0);
-			plan.report({...word, haveVersion: 4000, known: known.map(([id]) => [id, 'a0'])}, 0);
+			plan.report({...report, haveVersion: 4000, known: known.map(([id]) => [id, 'a0'])}, 0);
 			plan.tick({instances, priorities: new Map(), hosts: new Map()}, 0);
-			plan.report(word, 400);
-			plan.report({...word, haveVersion: 4500, known: known.map(([id]) => [id, 'a1'])}, 500);
+			plan.report(report, 400);
+			plan.report({...report, haveVersion: 4500, known: known.map(([id]) => [id, 'a1'])}, 500);
 			plan.tick({instances, priorities: new Map(), hosts: new Map()}, 500);
 			expect(placed(plan)).toEqual(known.map(([, id]) => id));
 		});
@@ -233,7 +233,7 @@
 			play(plan, {
 				instances, objects, perSecond: 1, fromMs: 0, forMs: 1000,
 			});
-			expect(plan.report({...word, haveVersion: 1010, objects: []}, 1000).entries).toHaveLength(objects.length);
+			expect(plan.report({...report, haveVersion: 1010, objects: []}, 1000).entries).toHaveLength(objects.length);
 		});
 
 		it('takes nothing over once it has planned for a while', () => {
@@ -242,7 +242,7 @@
 				instances, objects, perSecond: 1, fromMs: 0, forMs: 5000,
 			});
 			const before = placed(plan);
-			plan.report(word, 5000);
+			plan.report(report, 5000);
 			expect(placed(plan)).toEqual(before);
 		});
 	});
@@ -353,7 +353,7 @@
 		it('shares it while it is not crowded', () => {
 			const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
 			for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
-				plan.hear(wordOf('b', 12, 0, 12), nowMs);
+				plan.hear(loadOf('b', 12, 0, 12), nowMs);
 				plan.report({
 					haveVersion: 0, known: [], host: 'h1', slow: [], routes: [['s', '/urgent/', 20], ['s', '/slow/', 20]], objects: requests(1).slice(0, 8),
 				}, nowMs);
@@ -366,8 +366,8 @@
 
 	it('offers to others only what is free here, and the busier ones get more', () => {
 		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
-		plan.hear(wordOf('b', 6, 6, 0), 9000);
-		plan.hear(wordOf('c', 6, 3, 0), 9000);
+		plan.hear(loadOf('b', 6, 6, 0), 9000);
+		plan.hear(loadOf('c', 6, 3, 0), 9000);
 		play(plan, {
 			instances: instancesOf('a', 4), objects: objects.slice(0, 4), perSecond: 2, fromMs: 0, forMs: 10_000,
 		});
--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -6,7 +6,7 @@
 import {ObjectAssignments} from './object-assignments.js';
 import {PoolPicture} from './pool-picture.js';
 import {regionSizes} from './region-sizes.js';
-import {RegionWords} from './region-words.js';
+import {RegionLoads} from './region-loads.js';
 import {rendezvousOrder} from './rendezvous-order.js';
 import {RouteTimes} from './route-times.js';
 import {SlowInstances} from './slow-instances.js';
@@ -83,7 +83,7 @@
 	readonly #region: string;
 	readonly #assignments: ObjectAssignments;
 	readonly #times = new RouteTimes();
-	readonly #words: RegionWords;
+	readonly #regionLoads: RegionLoads;
 	readonly #slow = new SlowInstances();
 	readonly #startMs: number;
 	/** Moment of the first requests for each service, in monotonic milliseconds. */
@@ -104,7 +104,7 @@
 	/** `version` has to exceed that of any earlier plan of the region; `known` are the assignments to begin with. */
 	constructor({region}: PlanOptions, version: number, known: ReadonlyMap<string, string>, nowMs: number) {
 		this.#region = region;
-		this.#words = new RegionWords(region);
+		this.#regionLoads = new RegionLoads(region);
 		this.#assignments = new ObjectAssignments(version, known, nowMs);
 		this.#startMs = nowMs;
 	}
@@ -140,7 +140,7 @@
 			this.#times.learn(route, timeMs);
 		}
 
-		this.#words.hear(load, nowMs);
+		this.#regionLoads.hear(load, nowMs);
 	}
 
 	/** What to tell the other regions' planners. */
@@ -225,12 +225,12 @@
 			: [];
 		this.#noteReserved(instances, reserved);
 		if (reserved.length === 0) {
-			return [this.#pool(`${service}|rest`, [...own, ...away.filter(instance => !this.#words.isReserved(instance))], objects, nowMs)];
+			return [this.#pool(`${service}|rest`, [...own, ...away.filter(instance => !this.#regionLoads.isReserved(instance))], objects, nowMs)];
 		}
 
 		this.#reservations.push([service, urgent, reserved.map(instance => instance.id)]);
-		const rest = [...own.filter(instance => !reserved.includes(instance)), ...away.filter(instance => !this.#words.isReserved(instance))];
-		const first = [...reserved, ...away.filter(instance => this.#words.isReserved(instance))];
+		const rest = [...own.filter(instance => !reserved.includes(instance)), ...away.filter(instance => !this.#regionLoads.isReserved(instance))];
+		const first = [...reserved, ...away.filter(instance => this.#regionLoads.isReserved(instance))];
 		return [
 			this.#pool(`${service}|rest`, rest, objects.filter(object => object.priority !== urgent), nowMs),
 			this.#pool(`${service}|urgent`, first, objects.filter(object => object.priority === urgent), nowMs),
@@ -274,7 +274,7 @@
 	}
 
 	#pool(name: string, instances: readonly PlanInstance[], objects: readonly PlannedObject[], nowMs: number): Pool {
-		const picture = new PoolPicture(name, instances, this.#region, id => this.#words.usesOf(id, nowMs));
+		const picture = new PoolPicture(name, instances, this.#region, id => this.#regionLoads.usesOf(id, nowMs));
 		for (const object of objects) {
 			picture.add(object.instanceId, this.#demand(object, nowMs));
 		}
@@ -375,7 +375,7 @@
 		}
 
 		const open = picture.instances.filter(({region}) =>
-			region !== this.#region && mayRunIn(object, region) && (used.get(region) ?? 0) < this.#words.offerOf(region, picture.name, nowMs));
+			region !== this.#region && mayRunIn(object, region) && (used.get(region) ?? 0) < this.#regionLoads.offerOf(region, picture.name, nowMs));
 		const least = picture.leastBusy(open);
 		return warmest(picture, open.filter(instance => instance.region === least?.region), object);
 	}
@@ -438,9 +438,9 @@
 		}
 
 		this.#pools.push([picture.name, picture.ownSlots, picture.ownBusy]);
-		const foreign = picture.own.reduce((sum, instance) => sum + this.#words.usesOf(instance.id, nowMs), 0);
+		const foreign = picture.own.reduce((sum, instance) => sum + this.#regionLoads.usesOf(instance.id, nowMs), 0);
 		const spare = Math.max(0, (offeredShare * picture.ownSlots) - picture.ownBusy + foreign);
-		for (const [region, slots] of this.#words.divide(picture.name, spare, picture.ownShare, nowMs)) {
+		for (const [region, slots] of this.#regionLoads.divide(picture.name, spare, picture.ownShare, nowMs)) {
 			this.#offers.push([picture.name, region, slots]);
 		}
 	}
--- a/src/decisions/region-words.ts
+++ b/src/decisions/region-loads.ts
@@ -1,7 +1,7 @@
 import {type RegionLoad} from '../contracts/region-load.js';
 
-/** Another region's word, as far as it concerns this one. */
-type Word = {
+/** Another region's load, as far as it concerns this one. */
+type HeardLoad = {
 	/** Slots offered to this region, by pool. */
 	readonly offers: ReadonlyMap<string, number>;
 	/** Slots that the region's requests keep busy anywhere, by instance. */
@@ -13,22 +13,22 @@
 	readonly heardMs: number;
 };
 
-/** Time for which another region's word holds, in milliseconds. */
-const wordMs = 4000;
+/** Time for which what a region told holds, in milliseconds. */
+const loadValidMs = 4000;
 
 /** What the planners of the other regions told; a region that fell silent offers nothing. */
-export class RegionWords {
+export class RegionLoads {
 	readonly #region: string;
-	readonly #words = new Map<string, Word>();
+	readonly #loads = new Map<string, HeardLoad>();
 
 	/** `region` is the region that listens. */
 	constructor(region: string) {
 		this.#region = region;
 	}
 
-	/** Takes in a region's word. */
+	/** Takes in what a region tells. */
 	hear(load: RegionLoad, nowMs: number): void {
-		this.#words.set(load.region, {
+		this.#loads.set(load.region, {
 			offers: new Map(load.offers.filter(([, region]) => region === this.#region).map(([pool, , slots]) => [pool, slots])),
 			uses: new Map(load.uses),
 			busy: new Map(load.pools.map(([pool, slots, busy]) => [pool, slots > 0 ? busy / slots : Math.min(1, busy)])),
@@ -39,7 +39,7 @@
 
 	/** Slots that the other regions' requests keep busy at an instance. */
 	usesOf(instanceId: string, nowMs: number): number {
-		return this.#valid(nowMs).reduce((sum, [, word]) => sum + (word.uses.get(instanceId) ?? 0), 0);
+		return this.#valid(nowMs).reduce((sum, [, heard]) => sum + (heard.uses.get(instanceId) ?? 0), 0);
 	}
 
 	/** Slots that a region offers for a pool. */
@@ -49,19 +49,19 @@
 
 	/** Whether a region keeps one of its instances for its most urgent requests, as last heard. */
 	isReserved(instance: {readonly id: string; readonly region: string}): boolean {
-		return this.#words.get(instance.region)?.reserved.has(instance.id) === true;
+		return this.#loads.get(instance.region)?.reserved.has(instance.id) === true;
 	}
 
 	/** Divides spare slots among the regions that are busier than this one, by how much busier they are. */
 	divide(pool: string, spare: number, ownBusyShare: number, nowMs: number): Array<[region: string, slots: number]> {
 		const needs = this.#valid(nowMs)
-			.map(([region, word]): [string, number] => [region, (word.busy.get(pool) ?? 0) - ownBusyShare])
+			.map(([region, heard]): [string, number] => [region, (heard.busy.get(pool) ?? 0) - ownBusyShare])
 			.filter(([, need]) => need > 0);
 		const total = needs.reduce((sum, [, need]) => sum + need, 0);
 		return needs.map(([region, need]) => [region, spare * need / total]);
 	}
 
-	#valid(nowMs: number): Array<[string, Word]> {
-		return [...this.#words].filter(([, word]) => nowMs - word.heardMs < wordMs);
+	#valid(nowMs: number): Array<[string, HeardLoad]> {
+		return [...this.#loads].filter(([, heard]) => nowMs - heard.heardMs < loadValidMs);
 	}
 }
--- a/src/services/planner-service.ts
+++ b/src/services/planner-service.ts
@@ -31,8 +31,8 @@
 const tickMs = 500;
 /** Ticks between two reports of a host whose requests all had an assignment. */
 const ticksPerQuietReport = 2;
-/** Ticks between two words to the other regions. */
-const ticksPerWord = 2;
+/** Ticks between two messages to the other regions' planners. */
+const ticksPerRegionLoad = 2;
 /** Plans between two log lines of the region's load. */
 const ticksPerLog = 10;
 /** Added to the version of a plan that another host made, so that a new one exceeds what may still be on its way. */
@@ -102,7 +102,7 @@
 		return this.#planHere().report(report, this.#options.clock.nowMs());
 	}
 
-	/** Takes in another region's word, or passes it on to the region's planner once. */
+	/** Takes in another region's load, or passes it on to the region's planner once. */
 	async takeRegionLoad(load: RegionLoad, isRelayed: boolean): Promise<void> {
 		const {members, peerClient, clock} = this.#options;
 		const planner = members.ownerOf('placement');
@@ -126,7 +126,7 @@
 				logger.info('load of the region', plan.regionLoad());
 			}
 
-			if (this.#ticks % ticksPerWord === 0) {
+			if (this.#ticks % ticksPerRegionLoad === 0) {
 				void this.#tellRegions(plan.regionLoad());
 			}
 		} else if (this.#plan !== undefined) {
