--- a/src/decisions/placement-plan.test.ts
+++ b/src/decisions/placement-plan.test.ts
@@ -35,6 +35,21 @@
 	region, pools: [['s|rest', slots, busy] as [string, number, number]], reserved: [], offers: [['s|rest', 'a', offered] as [string, string, number]], uses: [], times: [],
 });
 
+/** Plays 20 seconds in which every object is asked for twice a second with either priority; times are in milliseconds. */
+function playPriorities(plan: PlacementPlan, instances: Instances, times: {readonly urgent: number; readonly slow: number}): void {
+	for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
+		plan.report({
+			haveVersion: 0,
+			known: [],
+			host: 'h1',
+			slow: [],
+			routes: [['s', '/urgent/', times.urgent], ['s', '/slow/', times.slow]],
+			objects: objects.flatMap(object => [['s', '/urgent/', 0, object, 1, []], ['s', '/slow/', 2, object, 1, []]] as Array<[string, string, number, string, number, string[]]>),
+		}, nowMs);
+		plan.tick({instances, priorities: new Map(), hosts: new Map()}, nowMs);
+	}
+}
+
 describe('placement plan', () => {
 	it('takes the usual time at a warm instance for the time of a route, neither a cold run nor the luckiest', () => {
 		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
@@ -250,18 +265,7 @@
 	it('keeps instances for the most urgent requests, and the others off them', () => {
 		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
 		const instances = instancesOf('a', 4);
-		for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
-			plan.report({
-				haveVersion: 0,
-				known: [],
-				host: 'h1',
-				slow: [],
-				routes: [['s', '/urgent/', 50], ['s', '/slow/', 500]],
-				objects: objects.flatMap(object => [['s', '/urgent/', 0, object, 1, []], ['s', '/slow/', 2, object, 1, []]] as Array<[string, string, number, string, number, string[]]>),
-			}, nowMs);
-			plan.tick({instances, priorities: new Map(), hosts: new Map()}, nowMs);
-		}
-
+		playPriorities(plan, instances, {urgent: 50, slow: 500});
 		const urgent = new Set(objects.map(object => plan.instanceOf(objectId('s', 0, object))));
 		const slow = new Set(objects.map(object => plan.instanceOf(objectId('s', 2, object))));
 		expect([...urgent].filter(id => slow.has(id))).toEqual([]);
@@ -271,18 +275,7 @@
 	it('keeps as large a part of many idle instances for the most urgent as they have of the load', () => {
 		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
 		const instances = instancesOf('a', 40);
-		for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
-			plan.report({
-				haveVersion: 0,
-				known: [],
-				host: 'h1',
-				slow: [],
-				routes: [['s', '/urgent/', 50], ['s', '/slow/', 150]],
-				objects: objects.flatMap(object => [['s', '/urgent/', 0, object, 1, []], ['s', '/slow/', 2, object, 1, []]] as Array<[string, string, number, string, number, string[]]>),
-			}, nowMs);
-			plan.tick({instances, priorities: new Map(), hosts: new Map()}, nowMs);
-		}
-
+		playPriorities(plan, instances, {urgent: 50, slow: 150});
 		expect(plan.regionLoad().reserved.length).toBeGreaterThanOrEqual(9);
 		expect(plan.regionLoad().reserved.length).toBeLessThanOrEqual(11);
 	});
