The plan does each piece of work once

Cause: found by reading the change. In each tick the sizes of regions were computed for each instance in place of each service; for every object without an instance the best one of other regions was looked for, though only lost objects ask for it; the lookup of one region's offer copied all regions; what is not reserved was written down twice. Priorities of a service stood once for each route, and every request removed the doubles. Change: sizes by service, the search only where its result is used, one region looked up, one list, priorities once each where they are collected.

--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -74,6 +74,7 @@
 const shiftPerSecond = 0.045;
 /** Share of the region's work that may change its region at once. */
 const shiftAtOnce = 0.04;
+
 /**
  * Plans which instance serves which object of the requests that enter in one region. Objects stay where they are warm;
  * they move from busy instances to less busy ones, a few at a time, and to other regions only within what those
@@ -166,11 +167,11 @@
 		this.#reservations = [];
 		this.#present = new Set(instances.map(instance => instance.id));
 		this.#priorities = priorities;
-		this.#sizes = new Map(instances.map(({service}) => [service, regionSizes(instances.filter(instance => instance.service === service), hosts)]));
-		const services = new Set(instances.map(instance => instance.service));
+		const services = [...new Set(instances.map(instance => instance.service))];
+		this.#sizes = new Map(services.map(service => [service, regionSizes(instances.filter(instance => instance.service === service), hosts)]));
 		// An instance that takes three times as long has a third of the room.
 		const rated = instances.map(instance => ({...instance, slots: instance.slots / this.#slow.slownessOf(instance.id, nowMs)}));
-		const pools = [...services].flatMap(service => this.#poolsOf(service, rated, nowMs));
+		const pools = services.flatMap(service => this.#poolsOf(service, rated, nowMs));
 		const rate = pools.flatMap(pool => pool.objects).reduce((sum, object) => sum + object.demand.rate(nowMs), 0);
 		this.#shiftCredit = Math.min(shiftAtOnce * rate, this.#shiftCredit + (shiftPerSecond * rate * elapsedMs / 1000));
 		for (const pool of pools) {
@@ -224,12 +225,12 @@
 			}, nowMs)
 			: [];
 		this.#noteReserved(instances, reserved);
+		const rest = [...own.filter(instance => !reserved.includes(instance)), ...away.filter(instance => !this.#regionLoads.isReserved(instance))];
 		if (reserved.length === 0) {
-			return [this.#pool(`${service}|rest`, [...own, ...away.filter(instance => !this.#regionLoads.isReserved(instance))], objects, nowMs)];
+			return [this.#pool(`${service}|rest`, rest, objects, nowMs)];
 		}
 
 		this.#reservations.push([service, urgent, reserved.map(instance => instance.id)]);
-		const rest = [...own.filter(instance => !reserved.includes(instance)), ...away.filter(instance => !this.#regionLoads.isReserved(instance))];
 		const first = [...reserved, ...away.filter(instance => this.#regionLoads.isReserved(instance))];
 		return [
 			this.#pool(`${service}|rest`, rest, objects.filter(object => object.priority !== urgent), nowMs),
@@ -290,10 +291,9 @@
 		const {picture, objects} = pool;
 		const homeless = objects.filter(object => picture.get(object.instanceId) === undefined);
 		for (const object of this.#byDemand(homeless, nowMs)) {
-			const away = this.#foreignTarget(pool, object, nowMs);
 			const isKept = this.#present.has(object.instanceId);
 			if (isKept && !picture.own.some(instance => mayRunIn(object, instance.region))) {
-				this.#sendAway(picture, object, away, nowMs);
+				this.#sendAway(picture, object, this.#foreignTarget(pool, object, nowMs), nowMs);
 				continue;
 			}
 
@@ -303,7 +303,8 @@
 			}
 
 			const wasLost = object.instanceId !== '' && !isKept;
-			const isAwayBetter = wasLost && away !== undefined && picture.share(here) > busyShare && picture.share(away) + marginShare < picture.share(here);
+			const away = wasLost && picture.share(here) > busyShare ? this.#foreignTarget(pool, object, nowMs) : undefined;
+			const isAwayBetter = away !== undefined && picture.share(away) + marginShare < picture.share(here);
 			this.#move(picture, object, isAwayBetter ? away : here, nowMs);
 		}
 	}
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -23,7 +23,7 @@
 	readonly isSponsor: (instanceId: string, region: string) => boolean;
 	/** Instance to which the region's planner assigned an object, by the object's id. */
 	readonly assignments: ReadonlyMap<string, string>;
-	/** Priorities of the routes with affinity to a service, most urgent first. */
+	/** Priorities of the routes with affinity to a service, each once, most urgent first. */
 	readonly prioritiesOf: (service: string) => readonly number[];
 	/** Shortest target of the most urgent routes with affinity to a service, in milliseconds. */
 	readonly urgentTargetMs: (service: string) => number;
@@ -158,7 +158,7 @@
 			return own.filter(entry => reservation.instanceIds.has(entry.instance.id) === (priority === reservation.priority));
 		}
 
-		const [urgent, next] = prioritiesOf(service).filter((other, index, all) => other !== all[index - 1]);
+		const [urgent, next] = prioritiesOf(service);
 		if (next === undefined || own.length < 2) {
 			return [...own];
 		}
--- a/src/decisions/region-loads.ts
+++ b/src/decisions/region-loads.ts
@@ -44,7 +44,8 @@
 
 	/** Slots that a region offers for a pool. */
 	offerOf(region: string, pool: string, nowMs: number): number {
-		return new Map(this.#valid(nowMs)).get(region)?.offers.get(pool) ?? 0;
+		const heard = this.#loads.get(region);
+		return heard !== undefined && isValid(heard, nowMs) ? heard.offers.get(pool) ?? 0 : 0;
 	}
 
 	/** Whether a region keeps one of its instances for its most urgent requests, as last heard. */
@@ -62,6 +63,10 @@
 	}
 
 	#valid(nowMs: number): Array<[string, HeardLoad]> {
-		return [...this.#loads].filter(([, heard]) => nowMs - heard.heardMs < loadValidMs);
+		return [...this.#loads].filter(([, heard]) => isValid(heard, nowMs));
 	}
 }
+
+function isValid(heard: HeardLoad, nowMs: number): boolean {
+	return nowMs - heard.heardMs < loadValidMs;
+}
--- a/src/services/steering-service.ts
+++ b/src/services/steering-service.ts
@@ -225,7 +225,7 @@
 	for (const route of routes.filter(item => item.hasAffinity)) {
 		for (const {service} of route.targets) {
 			const own = priorities.get(service) ?? [];
-			priorities.set(service, [...own, route.priority].toSorted((a, b) => a - b));
+			priorities.set(service, [...new Set([...own, route.priority])].toSorted((a, b) => a - b));
 		}
 	}
 
