Slow instances are the last to be kept for the most urgent

Cause: the plan divided a slow instance's slots by its slowness, but chose the instances for the most urgent requests by their order alone.

Ruled out: overload (no refusals, no queue told), lost connections, the store.

Change: slow instances come last in that choice; the line "load of the region" lists the instances found slow, which the logs did not say. The test fails without the change.

--- a/src/decisions/placement-plan.test.ts
+++ b/src/decisions/placement-plan.test.ts
@@ -35,14 +35,23 @@
 	region, pools: [['s|rest', slots, busy] as [string, number, number]], reserved: [], offers: [['s|rest', 'a', offered] as [string, string, number]], uses: [], times: [],
 });
 
+/** What two hosts find slow, from a moment on. */
+type Slowness = {readonly fromMs: number; readonly slow: Array<[instanceId: string, slowness: number]>};
+
+const nothingSlow: Slowness = {fromMs: 0, slow: []};
+
 /** Plays 20 seconds in which every object is asked for twice a second with either priority; times are in milliseconds. */
-function playPriorities(plan: PlacementPlan, instances: Instances, times: {readonly urgent: number; readonly slow: number}): void {
-	for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
+function playPriorities(plan: PlacementPlan, instances: Instances, times: {readonly urgent: number; readonly slow: number}, slowness = nothingSlow): void {
+	const {fromMs, slow} = slowness;
+	for (let nowMs = fromMs; nowMs < fromMs + 20_000; nowMs += tickMs) {
+		plan.report({
+			haveVersion: 0, known: [], host: 'h2', slow, routes: [], objects: [],
+		}, nowMs);
 		plan.report({
 			haveVersion: 0,
 			known: [],
 			host: 'h1',
-			slow: [],
+			slow,
 			routes: [['s', '/urgent/', times.urgent], ['s', '/slow/', times.slow]],
 			objects: objects.flatMap(object => [['s', '/urgent/', 0, object, 1, []], ['s', '/slow/', 2, object, 1, []]] as Array<[string, string, number, string, number, string[]]>),
 		}, nowMs);
@@ -272,6 +281,17 @@
 		expect(new Set(plan.regionLoad().reserved)).toEqual(urgent);
 	});
 
+	it('replaces an instance that is kept for the most urgent when it is slow', () => {
+		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
+		const instances = instancesOf('a', 4);
+		playPriorities(plan, instances, {urgent: 50, slow: 100});
+		const [first] = plan.regionLoad().reserved;
+		playPriorities(plan, instances, {urgent: 50, slow: 100}, {fromMs: 20_000, slow: [[first!, 6]]});
+		expect(plan.regionLoad().reserved.length).toBeGreaterThan(0);
+		expect(plan.regionLoad().reserved).not.toContain(first);
+		expect(objects.map(object => plan.instanceOf(objectId('s', 0, object)))).not.toContain(first);
+	});
+
 	it('keeps as large a part of many idle instances for the most urgent as they have of the load', () => {
 		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
 		const instances = instancesOf('a', 40);
--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -156,6 +156,11 @@
 		};
 	}
 
+	/** Instances that the region's hosts find slow, and how many times slower than usual. */
+	slowInstances(nowMs: number): Array<[instanceId: string, slowness: number]> {
+		return this.#slow.list(nowMs);
+	}
+
 	/** Adapts the plan to the instances that take work now. */
 	tick({instances, priorities, hosts}: Surroundings, nowMs: number): void {
 		const elapsedMs = Math.min(1000, nowMs - (this.#lastTickMs ?? nowMs));
@@ -251,7 +256,7 @@
 
 	/**
 	 * Chooses the instances for the most urgent requests: enough for their load, and no fewer than their part of it, since an
-	 * instance stays warm for a few objects only. The number follows the load slowly.
+	 * instance stays warm for a few objects only. The number follows the load slowly. Slow instances are the last to be chosen.
 	 */
 	#reserve({service, own, asked, urgent}: Division, nowMs: number): readonly PlanInstance[] {
 		const slots = own.reduce((sum, instance) => sum + instance.slots, 0) / own.length;
@@ -262,7 +267,8 @@
 		const most = Math.max(Math.ceil(demand / (reserveIdleShare * slots)), least);
 		const initial = this.#isUnknown(service, asked, nowMs) ? initialUrgentCount(own.length) : 1;
 		const count = Math.max(1, Math.min(own.length - 1, Math.max(initial, least, Math.min(most, current))));
-		return urgentOrder(service, own, instance => instance.id).slice(0, count);
+		const order = urgentOrder(service, own, instance => instance.id);
+		return order.toSorted((a, b) => Number(this.#slow.isSlow(a.id, nowMs)) - Number(this.#slow.isSlow(b.id, nowMs))).slice(0, count);
 	}
 
 	/** Whether a service's requests came for too short a time to tell its loads. */
--- a/src/decisions/slow-instances.ts
+++ b/src/decisions/slow-instances.ts
@@ -31,4 +31,16 @@
 
 		return [...byHost.values()].map(judgement => judgement.slowness).toSorted((a, b) => b - a)[leastHosts - 1] ?? 1;
 	}
+
+	/** Whether an instance is slow now. */
+	isSlow(instanceId: string, nowMs: number): boolean {
+		return this.slownessOf(instanceId, nowMs) > 1;
+	}
+
+	/** The instances that are slow now, and how many times slower than usual. */
+	list(nowMs: number): Array<[instanceId: string, slowness: number]> {
+		return [...this.#judgements.keys()]
+			.map((id): [string, number] => [id, this.slownessOf(id, nowMs)])
+			.filter(([id]) => this.isSlow(id, nowMs));
+	}
 }
--- a/src/services/planner-service.ts
+++ b/src/services/planner-service.ts
@@ -123,7 +123,7 @@
 			plan.tick({instances: instances.open(nowMs), priorities: steering.priorities, hosts: steering.hostsByRegion()}, nowMs);
 			this.#ticks++;
 			if (this.#ticks % ticksPerLog === 0) {
-				logger.info('load of the region', plan.regionLoad());
+				logger.info('load of the region', {...plan.regionLoad(), slow: plan.slowInstances(nowMs)});
 			}
 
 			if (this.#ticks % ticksPerRegionLoad === 0) {
