What was removed does not come back with a slow peer's answer

Cause, found by a property test that plays the answers of several peers in any order: the copy of the store's items remembered a removal only if it knew the key. Three ways led to an entry that stays for good: an older answer that brings the key after a newer one told of its removal; a host that learned the removal without the key, and passes nothing on to peers that still have it; and a host that read the whole store, which then told peers a little behind no removals at all.

Ruled out: revisions going back (each key only goes up), the time for which lapsed entries are kept (it starts from a removal).

Change: removals of unknown keys are remembered; what a whole read lacked counts as removed up to its revision, for later writes and for what peers are told (they get everything once).

--- a/src/decisions/item-replica.test.ts
+++ b/src/decisions/item-replica.test.ts
@@ -27,6 +27,35 @@
 		}));
 	});
 
+	it('ends in the store\'s state whatever order the answers of several peers come in', () => {
+		const history = fc.array(fc.tuple(fc.constantFrom('a', 'b', 'c'), fc.boolean()), {minLength: 1, maxLength: 8});
+		const pulls = fc.array(fc.tuple(fc.nat(8), fc.nat(8)), {maxLength: 4});
+		fc.assert(fc.property(history, pulls, fc.infiniteStream(fc.nat()), (steps, spans, picks) => {
+			const changes = steps.map(([key, isWrite], index) => (isWrite ? written(key, index + 1) : removed(key, index + 1)));
+			const peerAt = (revision: number) => {
+				const peer = new ItemReplica();
+				peer.apply(changes.slice(0, revision));
+				return peer;
+			};
+
+			// What peers that know different parts of the history answer to pulls of different age.
+			const answers = spans.map(([have, revision]) => {
+				const {items, removals} = peerAt(Math.min(revision, changes.length)).since(Math.max(1, Math.min(have, revision)));
+				return [...items.map((item): StoreChange => ({kind: 'written', item})), ...removals];
+			});
+			const replica = new ItemReplica();
+			replica.apply(changes.slice(0, 1));
+			const latest = peerAt(changes.length).since(1);
+			const order = [...answers, [...latest.items.map((item): StoreChange => ({kind: 'written', item})), ...latest.removals]];
+			for (const pick of picks.take(order.length)) {
+				replica.apply(order.splice(pick % order.length, 1)[0]!);
+			}
+
+			const truth = peerAt(changes.length);
+			expect(replica.under('').map(item => item.value).toSorted()).toEqual(truth.under('').map(item => item.value).toSorted());
+		}));
+	});
+
 	it('goes to no lower revision of a key', () => {
 		const replica = new ItemReplica();
 		replica.apply([written('a', 5)]);
@@ -41,6 +70,13 @@
 		expect(replica.apply([written('a', 8)])).toHaveLength(1);
 	});
 
+	it('does not take in what it heard to be removed before it knew of it', () => {
+		const replica = new ItemReplica();
+		replica.apply([removed('a', 7), written('b', 8)]);
+		expect(replica.apply([written('a', 5)])).toEqual([]);
+		expect(replica.since(6).removals).toMatchObject([{key: 'a', revision: 7}]);
+	});
+
 	it('takes what a whole read lacks for removed, unless it is newer', () => {
 		const replica = new ItemReplica();
 		replica.apply([written('a', 1), written('b', 9)]);
@@ -60,6 +96,24 @@
 		expect(peer.under('').map(item => item.key).toSorted()).toEqual(['b', 'c']);
 	});
 
+	it('sends everything to a peer that knows less than a whole read did, which tells no removals', () => {
+		const replica = new ItemReplica();
+		replica.replace([{key: 'b', value: 'b@8', revision: 8}], 8, 0);
+		const peer = new ItemReplica();
+		peer.apply([written('a', 5)]);
+		const delta = replica.since(peer.revision);
+		expect(delta.isWhole).toBe(true);
+		peer.replace(delta.items, replica.revision, 0);
+		expect(peer.get('a')).toBeUndefined();
+	});
+
+	it('takes nothing in that a whole read already lacked', () => {
+		const replica = new ItemReplica();
+		replica.replace([{key: 'b', value: 'b@8', revision: 8}], 8, 0);
+		expect(replica.apply([written('a', 5)])).toEqual([]);
+		expect(replica.apply([written('a', 9)])).toHaveLength(1);
+	});
+
 	it('sends everything to a peer that knows nothing', () => {
 		const replica = new ItemReplica();
 		replica.apply([written('a', 1)]);
--- a/src/decisions/item-replica.ts
+++ b/src/decisions/item-replica.ts
@@ -12,8 +12,8 @@
 	readonly #items = new Map<string, StoreItem>();
 	readonly #removals = new Map<string, {readonly revision: number; readonly goneMs: number}>();
 	#revision = 0;
-	/** Revision up to which removals may have been forgotten. */
-	#forgottenRevision = 0;
+	/** Revision up to which removals may not be remembered: what was written up to it and is not here was removed. */
+	#settledRevision = 0;
 
 	/** Highest revision of any change known; 0 before the first. */
 	get revision(): number {
@@ -43,12 +43,14 @@
 			.map((item): StoreChange => ({
 				kind: 'removed', key: item.key, revision, goneMs,
 			}));
-		return this.apply([...written, ...removed]);
+		const changes = this.apply([...written, ...removed]);
+		this.#settledRevision = Math.max(this.#settledRevision, revision);
+		return changes;
 	}
 
 	/** Changes that a peer lacks; `isWhole` when it has to drop every other key. */
 	since(revision: number): {readonly isWhole: boolean; readonly items: readonly StoreItem[]; readonly removals: ReadonlyArray<StoreChange & {kind: 'removed'}>} {
-		const isWhole = revision < this.#forgottenRevision || revision === 0;
+		const isWhole = revision < this.#settledRevision || revision === 0;
 		return {
 			isWhole,
 			items: [...this.#items.values()].filter(item => isWhole || item.revision > revision),
@@ -59,7 +61,7 @@
 	}
 
 	#write(item: StoreItem): boolean {
-		const known = this.#items.get(item.key)?.revision ?? this.#removals.get(item.key)?.revision ?? 0;
+		const known = this.#items.get(item.key)?.revision ?? this.#removals.get(item.key)?.revision ?? this.#settledRevision;
 		if (item.revision <= known) {
 			return false;
 		}
@@ -70,21 +72,22 @@
 		return true;
 	}
 
+	/** Removals of unknown keys are remembered too: an older write may still be on its way here, and peers may know the key. */
 	#remove({key, revision, goneMs}: StoreChange & {kind: 'removed'}): boolean {
-		const known = this.#items.get(key);
-		if (known === undefined || revision < known.revision) {
+		const known = this.#items.get(key)?.revision ?? this.#removals.get(key)?.revision ?? this.#settledRevision;
+		if (revision < known) {
 			return false;
 		}
 
-		this.#items.delete(key);
+		const isNews = this.#items.delete(key);
 		this.#removals.set(key, {revision, goneMs});
 		this.#revision = Math.max(this.#revision, revision);
 		if (this.#removals.size > maxRemovals) {
 			const [oldest] = this.#removals;
 			this.#removals.delete(oldest![0]);
-			this.#forgottenRevision = Math.max(this.#forgottenRevision, oldest![1].revision);
+			this.#settledRevision = Math.max(this.#settledRevision, oldest![1].revision);
 		}
 
-		return true;
+		return isNews;
 	}
 }
