The log never holds up a daemon

Change: lines go through a bounded output of the project's own, to a socket on the descriptor, or to a file stream where that is no socket. 1 MB may wait; what comes then is left out and counted in a line.

Before: a full pipe blocks.

--- a/src/services/logger.ts
+++ b/src/services/logger.ts
@@ -1,26 +1,47 @@
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import winston from 'winston';
+import {openStandardOutput} from '../adapters/open-standard-output.js';
 import {LineBudget} from '../decisions/line-budget.js';
+import {BoundedOutput} from './bounded-output.js';
 
 /** Lines of one message about single requests. */
 const requestLines = {linesPerSecond: 20, linesAtOnce: 60};
 
-/** Structured log: one JSON object a line on standard output. */
+/** Bytes of lines that may wait while nobody reads standard output. */
+const maxWaitingBytes = 1_048_576;
+
+/** Structured log: one JSON object a line on standard output, which never blocks the process. */
 export class Logger {
 	readonly #inner: winston.Logger;
+	readonly #output: BoundedOutput;
 	readonly #budget = new LineBudget(requestLines);
 
 	/** `fields` stand on every line. */
 	constructor(level: string, fields: Readonly<Record<string, string>>) {
+		this.#output = new BoundedOutput({
+			to: openStandardOutput(),
+			maxWaitingBytes,
+			describeLeftOut: lines => `${JSON.stringify({
+				...fields, level: 'warn', message: 'nobody read the log in time; lines were left out', lines, timestamp: new Date().toISOString(),
+			})}\n`,
+			onFailed(err) {
+				process.stderr.write(`standard output failed; nothing more is logged: ${err.message}\n`);
+			},
+		});
 		this.#inner = winston.createLogger({
 			level,
 			defaultMeta: fields,
 			format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
-			transports: [new winston.transports.Stream({stream: process.stdout})],
+			transports: [new winston.transports.Stream({stream: this.#output})],
 		});
 	}
 
+	/** Waits until all lines are written, but no longer than a time in milliseconds. */
+	async flush(timeoutMs: number): Promise<void> {
+		return this.#output.flush(timeoutMs);
+	}
+
 	debug(message: string, fields: Readonly<Record<string, unknown>> = {}): void {
 		this.#inner.debug(message, fields);
 	}
