--- /dev/null
+++ b/stand-ins/platform-documents.ts
@@ -0,0 +1,51 @@
+type RouteFields = Readonly<Record<string, unknown>>;
+
+type RouteDocument = {readonly resource_kind: 'routes'; readonly metadata: {readonly name: string}; readonly spec: RouteFields};
+
+const routeDefaults = {
+	host: 'shop.example',
+	route_type: 'safe',
+	timeout_ms: 1000,
+	target_latency_ms: 200,
+	priority: 1,
+	service: 'books',
+	max_attempts: 2,
+	session_affinity: true,
+	allowed_regions: [],
+};
+
+/** The values that operators and instances write into the platform's store. */
+export const platformDocuments = {
+	/** A route for a path prefix; `fields` replace the defaults. */
+	route: (name: string, prefix: string, fields: RouteFields = {}): RouteDocument => ({
+		resource_kind: 'routes', metadata: {name}, spec: {...routeDefaults, prefix, ...fields},
+	}),
+
+	/** Fields of a route whose requests may run at most once. */
+	unrepeatable: {route_type: 'non_idempotent'},
+
+	/** A configuration with its version, its routes and the services that they name. */
+	configuration: (version: number, routes: readonly RouteDocument[], services: readonly string[] = [routeDefaults.service]) => ({
+		version,
+		resources: [
+			...routes,
+			...services.map(name => ({
+				resource_kind: 'services', metadata: {name}, spec: {
+					health_path: '/healthz', max_connections: 100, cold_start_s: 3, cold_per_s: 5,
+				},
+			})),
+			{
+				resource_kind: 'limits', metadata: {}, spec: {
+					max_header_bytes: 2000, max_body_bytes: 200_000, header_timeout_ms: 1000, idle_timeout_ms: 15_000,
+				},
+			},
+		],
+	}),
+
+	/** An instance's entry. */
+	instance: (address: string, {state = 'ready', zone = 'dsm-a', service = routeDefaults.service}: {readonly state?: string; readonly zone?: string; readonly service?: string} = {}) => ({
+		address, born: 1, info: {
+			service, version: 'v1', zone, slots: 3,
+		}, status: {state, sequence: 1, cold_remaining_ms: 0},
+	}),
+};
--- /dev/null
+++ b/stand-ins/platform-names.ts
@@ -0,0 +1,10 @@
+/** Names of the platform that tools need to play it. */
+export const platformNames = {
+	settingsVariable: 'COWSLIPSPAR_BOOT',
+	configurationKey: 'op/config',
+	instanceKey: (id: string) => `servers/${id}`,
+	readinessUrl: (ip: string) => `http://${ip}:8388/-/readyz`,
+	directoryAddress: (ip: string) => `${ip}:8383`,
+	clientsUrl: (ip: string) => `http://${ip}:8381`,
+	requestId: 'x-request-id',
+} as const;
--- a/test/steering-daemon.test.ts
+++ b/test/steering-daemon.test.ts
@@ -12,6 +12,7 @@
 import {createSteeringDaemon} from '../src/steering-daemon.js';
 import {collectBody} from '../stand-ins/collect-body.js';
 import {KvStoreStandIn} from '../stand-ins/kv-store-stand-in.js';
+import {platformDocuments} from '../stand-ins/platform-documents.js';
 import {PlatformInstanceStandIn} from '../stand-ins/platform-instance-stand-in.js';
 import {loopback} from './loopback.js';
 
@@ -74,44 +75,7 @@
 	};
 }
 
-const route = (name: string, prefix: string, fields: Record<string, unknown> = {}) => ({
-	resource_kind: 'routes',
-	metadata: {name},
-	spec: {
-		host: 'shop.example',
-		prefix,
-		route_type: 'safe',
-		timeout_ms: 1000,
-		target_latency_ms: 200,
-		priority: 1,
-		service: 'books',
-		max_attempts: 2,
-		session_affinity: true,
-		allowed_regions: [],
-		...fields,
-	},
-});
-const configuration = (version: number, routes: ReadonlyArray<ReturnType<typeof route>>) => ({
-	version,
-	resources: [
-		...routes,
-		{
-			resource_kind: 'services', metadata: {name: 'books'}, spec: {
-				health_path: '/healthz', max_connections: 100, cold_start_s: 3, cold_per_s: 5,
-			},
-		},
-		{
-			resource_kind: 'limits', metadata: {}, spec: {
-				max_header_bytes: 2000, max_body_bytes: 200_000, header_timeout_ms: 1000, idle_timeout_ms: 15_000,
-			},
-		},
-	],
-});
-const instanceEntry = (address: string, fields: {readonly state?: string; readonly zone?: string} = {}) => ({
-	address, born: 1, info: {
-		service: 'books', version: 'v1', zone: fields.zone ?? 'dsm-a', slots: 3,
-	}, status: {state: fields.state ?? 'ready', sequence: 1, cold_remaining_ms: 0},
-});
+const {route, configuration, instance: instanceEntry} = platformDocuments;
 
 async function until(isDone: () => boolean | Promise<boolean>): Promise<void> {
 	const endMs = performance.now() + 8000;
--- a/tools/child.ts
+++ b/tools/child.ts
@@ -5,6 +5,8 @@
 type ChildOptions = {
 	readonly script: string;
 	readonly args: readonly string[];
+	/** Variables beside this process's own. */
+	readonly env?: Readonly<Record<string, string>>;
 	/** File for what the child writes; nothing is kept without one. */
 	readonly logFile?: string;
 	/** Waits for a line `ready` on standard output. */
@@ -16,7 +18,9 @@
 	/** Starts a process with this Node.js. */
 	static async start(options: ChildOptions): Promise<Child> {
 		const isLogged = options.logFile !== undefined;
-		const child = spawn(process.execPath, [options.script, ...options.args], {stdio: ['ignore', options.waitsForReady || isLogged ? 'pipe' : 'ignore', isLogged ? 'pipe' : 'ignore']});
+		const child = spawn(process.execPath, [options.script, ...options.args], {
+			stdio: ['ignore', options.waitsForReady || isLogged ? 'pipe' : 'ignore', isLogged ? 'pipe' : 'ignore'], env: {...process.env, ...options.env},
+		});
 		if (options.logFile !== undefined) {
 			const file = createWriteStream(options.logFile, {flags: 'a'});
 			child.stdout?.pipe(file, {end: false});
--- /dev/null
+++ b/tools/demo-interface.ts
@@ -0,0 +1,81 @@
+import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
+import {Caller} from '../src/caller.js';
+import {SeededRandom} from '../src/decisions/seeded-random.js';
+import {Fleet} from './fleet.js';
+import {LatencyTable} from './latency-table.js';
+import {runLoad} from './load.js';
+import {publish} from './publish.js';
+import {streamsOf} from './streams-of.js';
+
+type DemoOptions = {readonly deployment: 'mvule' | 'barid'; readonly isFull: boolean; readonly logFolder: string | undefined};
+
+const loadMs = 8000;
+const stopAfterMs = 2000;
+const meanMs = 8;
+/** Requests a second of each class by priority, from 1, the most urgent. */
+const rates = [0, 40, 40, 20];
+
+/** Runs the daemons with their own interface against stand-ins while one host makes a planned stop; answers whether all promises were kept. */
+export async function demoInterface({deployment, isFull, logFolder}: DemoOptions, say: (line: string) => void): Promise<boolean> {
+	const fleet = new Fleet({
+		deployment, hostsPerZone: isFull ? 3 : 1, meanMs, seed: 1, ...(logFolder !== undefined && {logFolder}),
+	});
+	try {
+		say(`starting the store, the host list and the upstream instances of ${deployment}`);
+		await fleet.startStandIns();
+		say(`starting ${fleet.hosts.length} daemons`);
+		await fleet.startDaemons();
+		const startMs = performance.now();
+		const revision = await publish(fleet);
+		await fleet.untilReady();
+		say(`revision ${revision} is in force at all hosts after ${Math.round(performance.now() - startMs)} ms`);
+
+		const table = new LatencyTable();
+		const unproven: string[] = [];
+		const callers = fleet.publication.deployment.regions.map(region => new Caller({hosts: fleet.hosts.filter(host => host.region === region.name).map(host => host.callers)}));
+		const leaving = fleet.hosts[1]!.id;
+		const stopping = stopOne(fleet, leaving, say);
+		say(`sending work of every class for ${loadMs / 1000} s`);
+		await runLoad({
+			streams: streamsOf(fleet.publication, priority => rates[priority] ?? 0),
+			callers,
+			durationMs: loadMs,
+			random: new SeededRandom(7),
+			onFinished({stream, outcome, latencyMs, isOwn}) {
+				table.add(`${stream.service}/${stream.className}`, outcome, latencyMs, isOwn);
+				if (outcome.kind === 'unknown') {
+					unproven.push(`${stream.service}/${stream.className}: ${outcome.reason}: ${outcome.detail}`);
+				}
+			},
+		});
+		const stopCode = await stopping;
+		for (const caller of callers) {
+			caller.close();
+		}
+
+		const truth = await fleet.upstreams('/truth');
+		const doubleRuns = truth.flatMap(item => Object.values(item.runsByKey as Record<string, number>)).filter(runs => runs > 1).length;
+		const rows = table.summaries();
+		const isGood = rows.every(row => row.unknown === 0 && row.wrong === 0) && stopCode === 0 && doubleRuns === 0;
+		say(table.lines().join('\n'));
+		for (const line of unproven.slice(0, 10)) {
+			say(line);
+		}
+
+		process.stdout.write(`${JSON.stringify({
+			demo: deployment, hosts: fleet.hosts.length, isGood, stopCode, doubleRuns, classes: rows,
+		})}\n`);
+		return isGood;
+	} finally {
+		await fleet.close();
+	}
+}
+
+async function stopOne(fleet: Fleet, id: string, say: (line: string) => void): Promise<number> {
+	await delay(stopAfterMs);
+	say(`planned stop of ${id}`);
+	const code = await fleet.stopDaemon(id);
+	say(`${id} has ended with exit code ${code}`);
+	return code;
+}
