Instances get no more objects than they stay warm for

Ruled out: too few slots (a third busy by the plan), slow instances (none told), the start (23 of 191 late at 4 s with 10 instances).

Change: hosts report the time of runs at planned instances; the planner learns for how many objects an instance of a service stays warm from those that took twice the usual time though the object had run there, and counts objects as well as slots: when it divides instances between priorities, when it levels, and when it sends objects away. The line "load of the region" tells the estimates (kept).

--- a/src/contracts/placement-report.ts
+++ b/src/contracts/placement-report.ts
@@ -12,6 +12,8 @@
 	routes: z.array(z.tuple([z.string(), z.string(), z.number().min(0)])),
 	/** Instance that the host finds slow, and how many times slower than usual. */
 	slow: z.array(z.tuple([z.string(), z.number().min(1)])),
+	/** Service, route, priority, object, and the mean time of its runs at the instance to which it is assigned, without a wait there, in milliseconds. */
+	runs: z.array(z.tuple([z.string(), z.string(), z.int().min(0), z.string(), z.number().min(0)])),
 	/** Service, route, priority, object, requests, and the regions to which the route is confined. */
 	objects: z.array(z.tuple([z.string(), z.string(), z.int().min(0), z.string(), z.int().min(1), z.array(z.string())])),
 });
--- a/src/decisions/object-assignments.ts
+++ b/src/decisions/object-assignments.ts
@@ -17,6 +17,8 @@
 	version: number;
 	/** Moment of the latest move between instances that took work, in monotonic milliseconds. */
 	movedMs: number;
+	/** Moment from which its first run at the instance is known to be over, in monotonic milliseconds; infinite before. */
+	ranThereMs: number;
 };
 
 type Entries = Array<[objectId: string, instanceId: string]>;
@@ -63,6 +65,7 @@
 		this.#version++;
 		object.instanceId = instanceId;
 		object.version = this.#version;
+		object.ranThereMs = Number.POSITIVE_INFINITY;
 	}
 
 	/** Goes on from an earlier planner's assignments if they are newer than all known before: objects are warm there. */
@@ -111,6 +114,7 @@
 			instanceId: '',
 			version: this.#version,
 			movedMs: Number.NEGATIVE_INFINITY,
+			ranThereMs: Number.POSITIVE_INFINITY,
 		};
 		this.#objects.set(object.id, object);
 		this.#withdrawn.delete(object.id);
--- a/src/decisions/placement-plan.test.ts
+++ b/src/decisions/placement-plan.test.ts
@@ -17,7 +17,7 @@
 			haveVersion: 0,
 			known: [],
 			host: 'h1',
-			slow: [],
+			slow: [], runs: [],
 			routes: [['s', '/r/', 100]],
 			objects: objects.map(object => ['s', '/r/', 0, object, Math.max(1, Math.round(perSecond * tickMs / 1000)), []]),
 		}, nowMs);
@@ -45,13 +45,13 @@
 	const {fromMs, slow} = slowness;
 	for (let nowMs = fromMs; nowMs < fromMs + 20_000; nowMs += tickMs) {
 		plan.report({
-			haveVersion: 0, known: [], host: 'h2', slow, routes: [], objects: [],
+			haveVersion: 0, known: [], host: 'h2', slow, runs: [], routes: [], objects: [],
 		}, nowMs);
 		plan.report({
 			haveVersion: 0,
 			known: [],
 			host: 'h1',
-			slow,
+			slow, runs: [],
 			routes: [['s', '/urgent/', times.urgent], ['s', '/slow/', times.slow]],
 			objects: objects.flatMap(object => [['s', '/urgent/', 0, object, 1, []], ['s', '/slow/', 2, object, 1, []]] as Array<[string, string, number, string, number, string[]]>),
 		}, nowMs);
@@ -66,7 +66,7 @@
 		for (let tick = 0; tick < 400; tick++) {
 			const isCold = random.next() < 0.1;
 			plan.report({
-				haveVersion: 0, known: [], host: 'h1', slow: [], routes: [['s', '/r/', (isCold ? 900 : 270) * (0.8 + (0.4 * random.next()))]], objects: [],
+				haveVersion: 0, known: [], host: 'h1', slow: [], runs: [], routes: [['s', '/r/', (isCold ? 900 : 270) * (0.8 + (0.4 * random.next()))]], objects: [],
 			}, tick * tickMs);
 		}
 
@@ -129,7 +129,7 @@
 			}, nowMs => {
 				for (const host of hosts) {
 					plan.report({
-						haveVersion: 0, known: [], host, slow: [['a0', 6]], routes: [], objects: [],
+						haveVersion: 0, known: [], host, slow: [['a0', 6]], runs: [], routes: [], objects: [],
 					}, nowMs);
 				}
 			});
@@ -187,7 +187,7 @@
 		const plans = ['a', 'b'].map(region => new PlacementPlan({region}, 1, new Map(), 0));
 		for (const plan of plans) {
 			plan.report({
-				haveVersion: 0, known: [], host: 'h1', slow: [], routes: [], objects: objects.map(object => ['s', '/r/', 0, object, 1, []]),
+				haveVersion: 0, known: [], host: 'h1', slow: [], runs: [], routes: [], objects: objects.map(object => ['s', '/r/', 0, object, 1, []]),
 			}, 0);
 			plan.tick({instances, priorities: new Map(), hosts}, 0);
 		}
@@ -214,7 +214,7 @@
 		for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
 			plan.hear(loadOf('b', 12, 0, 12), nowMs);
 			plan.report({
-				haveVersion: 0, known: [], host: 'h1', slow: [], routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', 0, object, 4, ['a']]),
+				haveVersion: 0, known: [], host: 'h1', slow: [], runs: [], routes: [['s', '/r/', 100]], objects: objects.map(object => ['s', '/r/', 0, object, 4, ['a']]),
 			}, nowMs);
 			plan.tick({instances: nowMs < 10_000 ? instances : instances.slice(1), priorities: new Map(), hosts: new Map()}, nowMs);
 			expect(placed(plan).some(id => id.startsWith('b'))).toBe(false);
@@ -227,7 +227,7 @@
 			instances: instancesOf('a', 2), objects, perSecond: 1, fromMs: 0, forMs: 1000,
 		});
 		const empty = {
-			known: [], host: 'h1', slow: [], routes: [], objects: [],
+			known: [], host: 'h1', slow: [], runs: [], routes: [], objects: [],
 		};
 		const whole = plan.report({...empty, haveVersion: 0}, 1000);
 		expect(whole.entries).toHaveLength(objects.length);
@@ -239,7 +239,7 @@
 		const instances = instancesOf('a', 4);
 		const known = objects.map((object, index): [string, string] => [objectId('s', 0, object), `a${index % 4}`]);
 		const report = {
-			haveVersion: 5000, known, host: 'h1', slow: [], routes: [], objects: objects.map((object): [string, string, number, string, number, string[]] => ['s', '/r/', 0, object, 1, []]),
+			haveVersion: 5000, known, host: 'h1', slow: [], runs: [], routes: [], objects: objects.map((object): [string, string, number, string, number, string[]] => ['s', '/r/', 0, object, 1, []]),
 		};
 
 		it('goes on from the latest assignments that a host knows', () => {
@@ -300,6 +300,34 @@
 		expect(plan.regionLoad().reserved.length).toBeLessThanOrEqual(11);
 	});
 
+	it('keeps so many instances for the most urgent that they stay warm for all of their objects', () => {
+		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
+		const instances = instancesOf('a', 16);
+		const kept = 5;
+		const random = new SeededRandom(3);
+		for (let nowMs = 0; nowMs < 40_000; nowMs += tickMs) {
+			const counts = new Map<string, number>();
+			for (const id of placed(plan)) {
+				counts.set(id, (counts.get(id) ?? 0) + 1);
+			}
+
+			plan.report({
+				haveVersion: 0,
+				known: [],
+				host: 'h1',
+				slow: [],
+				routes: [['s', '/urgent/', 50], ['s', '/slow/', 200]],
+				// An instance that forgets the object used longest ago is warm for the part of its objects that it keeps.
+				runs: objects.map((object, index) => ['s', '/urgent/', 0, object, random.next() < kept / counts.get(placed(plan)[index]!)! ? 50 : 170]),
+				objects: objects.flatMap(object => [['s', '/urgent/', 0, object, 1, []], ['s', '/slow/', 2, object, 1, []]] as Array<[string, string, number, string, number, string[]]>),
+			}, nowMs);
+			plan.tick({instances, priorities: new Map(), hosts: new Map()}, nowMs);
+		}
+
+		const counts = [...new Set(placed(plan))].map(id => placed(plan).filter(other => other === id).length);
+		expect(Math.max(...counts)).toBeLessThanOrEqual(kept + 1);
+	});
+
 	it('keeps a quarter of the instances for the most urgent until their load is known', () => {
 		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
 		const instances = instancesOf('a', 40);
@@ -308,7 +336,7 @@
 		for (let nowMs = 0; nowMs < 6500; nowMs += tickMs) {
 			if (nowMs >= 4000) {
 				plan.report({
-					haveVersion: 0, known: [], host: 'h1', slow: [], routes: [], objects: [['s', '/urgent/', 0, 'k1', 1, []], ['s', '/slow/', 2, 'k1', 1, []]],
+					haveVersion: 0, known: [], host: 'h1', slow: [], runs: [], routes: [], objects: [['s', '/urgent/', 0, 'k1', 1, []], ['s', '/slow/', 2, 'k1', 1, []]],
 				}, nowMs);
 			}
 
@@ -327,7 +355,7 @@
 		function playBoth(plan: PlacementPlan, slow: number, forMs: number, onTick: (nowMs: number) => void): void {
 			for (let nowMs = 0; nowMs < forMs; nowMs += tickMs) {
 				plan.report({
-					haveVersion: 0, known: [], host: 'h1', slow: [], routes: [['s', '/urgent/', 20], ['s', '/slow/', 100]], objects: requests(slow),
+					haveVersion: 0, known: [], host: 'h1', slow: [], runs: [], routes: [['s', '/urgent/', 20], ['s', '/slow/', 100]], objects: requests(slow),
 				}, nowMs);
 				plan.tick({instances, priorities: new Map(), hosts: new Map()}, nowMs);
 				onTick(nowMs);
@@ -368,7 +396,7 @@
 			for (let nowMs = 0; nowMs < 20_000; nowMs += tickMs) {
 				plan.hear(loadOf('b', 12, 0, 12), nowMs);
 				plan.report({
-					haveVersion: 0, known: [], host: 'h1', slow: [], routes: [['s', '/urgent/', 20], ['s', '/slow/', 20]], objects: requests(1).slice(0, 8),
+					haveVersion: 0, known: [], host: 'h1', slow: [], runs: [], routes: [['s', '/urgent/', 20], ['s', '/slow/', 20]], objects: requests(1).slice(0, 8),
 				}, nowMs);
 				plan.tick({instances, priorities: new Map(), hosts: new Map()}, nowMs);
 			}
--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -4,6 +4,9 @@
 import {initialUrgentCount} from './initial-urgent-count.js';
 import {isMostUrgent} from './is-most-urgent.js';
 import {ObjectAssignments} from './object-assignments.js';
+import {ObjectCapacity} from './object-capacity.js';
+import {objectId} from './object-id.js';
+import {leastDemand} from './least-demand.js';
 import {PoolPicture} from './pool-picture.js';
 import {regionSizes} from './region-sizes.js';
 import {RegionLoads} from './region-loads.js';
@@ -60,11 +63,15 @@
 /** Time for which an object stays after a move, in milliseconds; at an overloaded instance, the shorter one. */
 const settleMs = 6000;
 const overloadSettleMs = 2000;
-/** Slots below which an object's requests count for nothing when instances are divided. */
-const leastDemand = 0.001;
 /** Busy share of the instances for the most urgent requests above which there are more of them, and below which fewer. */
 const reserveBusyShare = 0.45;
 const reserveIdleShare = 0.25;
+/** Part of the objects that an instance stays warm for up to which the instances for the most urgent requests are filled. */
+const reserveFill = 0.75;
+/** Times the usual time from which a run counts as one of an instance that was not warm: those take about three times as long. */
+const coldFrom = 2;
+/** Longest time between the end of a run and a host's report of it, in milliseconds. */
+const reportDelayMs = 1200;
 /** Busy share of the region above which objects leave it, and below which they come back. */
 const leaveShare = 0.6;
 const returnShare = 0.4;
@@ -86,6 +93,7 @@
 	readonly #times = new RouteTimes();
 	readonly #regionLoads: RegionLoads;
 	readonly #slow = new SlowInstances();
+	readonly #capacity = new ObjectCapacity();
 	readonly #startMs: number;
 	/** Moment of the first requests for each service, in monotonic milliseconds. */
 	readonly #askedSinceMs = new Map<string, number>();
@@ -124,6 +132,10 @@
 			this.#slow.hear(instanceId, report.host, slowness, nowMs);
 		}
 
+		for (const run of report.runs) {
+			this.#countRun(run, nowMs);
+		}
+
 		for (const [service, route, priority, objectKey, requests, allowedRegions] of report.objects) {
 			const object = this.#assignments.obtain(service, priority, objectKey, nowMs);
 			object.demand.count(`${service}|${route}`, requests, nowMs);
@@ -161,6 +173,11 @@
 		return this.#slow.list(nowMs);
 	}
 
+	/** Objects that an instance stays warm for, by service, where that was seen to be too few. */
+	get keptObjects(): Array<[service: string, objects: number]> {
+		return this.#capacity.entries;
+	}
+
 	/** Adapts the plan to the instances that take work now. */
 	tick({instances, priorities, hosts}: Surroundings, nowMs: number): void {
 		const elapsedMs = Math.min(1000, nowMs - (this.#lastTickMs ?? nowMs));
@@ -179,6 +196,7 @@
 		const pools = services.flatMap(service => this.#poolsOf(service, rated, nowMs));
 		const rate = pools.flatMap(pool => pool.objects).reduce((sum, object) => sum + object.demand.rate(nowMs), 0);
 		this.#shiftCredit = Math.min(shiftAtOnce * rate, this.#shiftCredit + (shiftPerSecond * rate * elapsedMs / 1000));
+		this.#capacity.judge(pools.flatMap(({picture}) => picture.own.map(instance => ({id: instance.id, service: instance.service, objects: picture.objectsAt(instance)}))), nowMs);
 		for (const pool of pools) {
 			this.#place(pool, nowMs);
 			if (!this.#isLearning(nowMs)) {
@@ -195,6 +213,20 @@
 		return this.#assignments.get(id)?.instanceId ?? '';
 	}
 
+	/** Notes whether an instance was still warm for an object; a run that may have begun before the object's first run there ended says nothing. */
+	#countRun([service, route, priority, objectKey, runMs]: PlacementReport['runs'][number], nowMs: number): void {
+		const object = this.#assignments.get(objectId(service, priority, objectKey));
+		if (object === undefined) {
+			return;
+		}
+
+		if (object.ranThereMs < nowMs - runMs - reportDelayMs && !this.#slow.isSlow(object.instanceId, nowMs)) {
+			this.#capacity.count(object.instanceId, runMs > coldFrom * this.#times.get(`${service}|${route}`), nowMs);
+		}
+
+		object.ranThereMs = Math.min(object.ranThereMs, nowMs);
+	}
+
 	#isLearning(nowMs: number): boolean {
 		return nowMs - this.#startMs < learningMs;
 	}
@@ -260,10 +292,12 @@
 	 */
 	#reserve({service, own, asked, urgent}: Division, nowMs: number): readonly PlanInstance[] {
 		const slots = own.reduce((sum, instance) => sum + instance.slots, 0) / own.length;
-		const demand = this.#totalDemand(asked.filter(object => object.priority === urgent), nowMs);
+		const objects = asked.filter(object => object.priority === urgent);
+		const demand = this.#totalDemand(objects, nowMs);
+		const kept = this.#capacity.keptBy(service);
 		const part = demand === 0 ? 0 : demand / this.#totalDemand(asked, nowMs);
 		const current = own.filter(instance => this.#reserved.has(instance.id)).length;
-		const least = Math.max(Math.ceil(demand / (reserveBusyShare * slots)), Math.floor(part * own.length));
+		const least = Math.max(Math.ceil(demand / (reserveBusyShare * slots)), Math.floor(part * own.length), Math.ceil(objects.length / (reserveFill * kept)));
 		const most = Math.max(Math.ceil(demand / (reserveIdleShare * slots)), least);
 		const initial = this.#isUnknown(service, asked, nowMs) ? initialUrgentCount(own.length) : 1;
 		const count = Math.max(1, Math.min(own.length - 1, Math.max(initial, least, Math.min(most, current))));
@@ -281,7 +315,9 @@
 	}
 
 	#pool(name: string, instances: readonly PlanInstance[], objects: readonly PlannedObject[], nowMs: number): Pool {
-		const picture = new PoolPicture(name, instances, this.#region, id => this.#regionLoads.usesOf(id, nowMs));
+		const picture = new PoolPicture({
+			name, instances, region: this.#region, busyOf: id => this.#regionLoads.usesOf(id, nowMs), kept: this.#capacity.keptBy(instances[0]?.service ?? ''),
+		});
 		for (const object of objects) {
 			picture.add(object.instanceId, this.#demand(object, nowMs));
 		}
@@ -422,7 +458,7 @@
 	#move(picture: PoolPicture, object: PlannedObject, to: PlanInstance, nowMs: number): void {
 		const demand = this.#demand(object, nowMs);
 		if (picture.get(object.instanceId) !== undefined) {
-			picture.add(object.instanceId, -demand);
+			picture.remove(object.instanceId, demand);
 			object.movedMs = nowMs;
 		}
 
--- a/src/services/planner-service.ts
+++ b/src/services/planner-service.ts
@@ -25,6 +25,7 @@
 };
 
 type Reservation = {readonly priority: number; readonly instanceIds: ReadonlySet<string>};
+type ObjectRun = {readonly service: string; readonly route: string; readonly priority: number; readonly objectKey: string; readonly instanceId: string};
 type ObjectRequest = {readonly service: string; readonly route: string; readonly priority: number; readonly objectKey: string; readonly allowedRegions: readonly string[]};
 
 /** Interval of the plans, and of the reports to the planner while objects lack an assignment, in milliseconds. */
@@ -45,6 +46,7 @@
 	readonly #options: PlannerOptions;
 	readonly #assignments = new Map<string, string>();
 	readonly #requests = new Map<string, ObjectRequest & {count: number}>();
+	readonly #runs = new Map<string, Omit<ObjectRun, 'instanceId'> & {runs: number; totalMs: number}>();
 	readonly #answers = new Map<string, {readonly service: string; readonly route: string; shortestMs: number}>();
 	#reserved: ReadonlyMap<string, Reservation> = new Map();
 	#version = 0;
@@ -87,6 +89,22 @@
 		}
 	}
 
+	/** Takes in the time of a run that did not wait at the instance to which its object is assigned, in milliseconds. */
+	countRun({service, route, priority, objectKey, instanceId}: ObjectRun, runMs: number): void {
+		const id = objectId(service, priority, objectKey);
+		if (this.#assignments.get(id) !== instanceId) {
+			return;
+		}
+
+		const key = `${id}|${route}`;
+		const entry = this.#runs.get(key) ?? {
+			service, route, priority, objectKey, runs: 0, totalMs: 0,
+		};
+		entry.runs++;
+		entry.totalMs += runMs;
+		this.#runs.set(key, entry);
+	}
+
 	/** Counts an answer that did not wait at its instance; the time is in milliseconds. */
 	countAnswer(service: string, route: string, tookMs: number): void {
 		const key = `${service}|${route}`;
@@ -123,7 +141,7 @@
 			plan.tick({instances: instances.open(nowMs), priorities: steering.priorities, hosts: steering.hostsByRegion()}, nowMs);
 			this.#ticks++;
 			if (this.#ticks % ticksPerLog === 0) {
-				logger.info('load of the region', {...plan.regionLoad(), slow: plan.slowInstances(nowMs)});
+				logger.info('load of the region', {...plan.regionLoad(), slow: plan.slowInstances(nowMs), kept: plan.keptObjects});
 			}
 
 			if (this.#ticks % ticksPerRegionLoad === 0) {
@@ -163,10 +181,12 @@
 			slow: this.speeds.slow(this.#options.clock.nowMs()),
 			known: plannerKey === this.#plannerKey ? [] : [...this.#assignments],
 			routes: [...this.#answers.values()].map(entry => [entry.service, entry.route, Math.round(entry.shortestMs)]),
+			runs: [...this.#runs.values()].map(entry => [entry.service, entry.route, entry.priority, entry.objectKey, Math.round(entry.totalMs / entry.runs)]),
 			objects: [...this.#requests.values()].map(entry => [entry.service, entry.route, entry.priority, entry.objectKey, entry.count, [...entry.allowedRegions]]),
 		};
 		this.#requests.clear();
 		this.#answers.clear();
+		this.#runs.clear();
 		this.#isReporting = true;
 		try {
 			this.#apply(isPlanner ? this.takeReport(report) : PlacementUpdate.parse(await peerClient.steering(planner.peers).report.mutate(report)));
--- a/src/services/send-observer.ts
+++ b/src/services/send-observer.ts
@@ -77,7 +77,7 @@
 	}
 
 	#noteTimes(ended: EndedSend): void {
-		const {service, route, entry, expectedWaitMs, result, tookMs, nowMs} = ended;
+		const {service, route, objectKey, entry, expectedWaitMs, result, tookMs, nowMs} = ended;
 		this.#noteSpeed(ended);
 		if (!('info' in result)) {
 			return;
@@ -99,6 +99,11 @@
 
 		if ((load?.waiting ?? 0) === 0) {
 			this.#options.planner.countAnswer(service, route.prefix, tookMs);
+			if (route.hasAffinity && objectKey !== undefined) {
+				this.#options.planner.countRun({
+					service, route: route.prefix, priority: route.priority, objectKey, instanceId: entry.instance.id,
+				}, Math.max(0, tookMs - expectedWaitMs));
+			}
 		}
 	}
 
