Kept objects are learned from instances that agree, and the reserve follows slowly

Cause: the first estimate fell to 2.8 objects on grown Barid Amin (the deployment's instances keep 11): each instance with cold runs pulled it down, also those that hold few objects and forget them for other reasons (strayed requests, waits taken for work, restarts).

Change: runs that may have waited and busy instances don't count; only instances that forget although they hold no fewer objects than those that stay warm tell of a limit, two of them at least, and the one that stays warm for most counts. The reserve is a module of its own, leaves the others the room that their load needs, and shrinks by one instance each 3 s.

--- a/src/decisions/object-capacity.ts
+++ b/src/decisions/object-capacity.ts
@@ -8,11 +8,15 @@
 const memoryMs = 4000;
 /** Remembered runs from which an instance is judged. */
 const leastRuns = 6;
-/** Share of cold runs from which an instance serves more objects than it stays warm for. */
-const coldShareFrom = 0.25;
-/** Share of cold runs up to which it stays warm for all of its objects. */
-const warmShareTo = 0.1;
-/** Weight of one judgement in a service's estimate. */
+/** Share of cold runs from which an instance shows that it forgets objects. */
+const forgettingFrom = 0.25;
+/** Share of cold runs up to which it shows that it stays warm for all of its objects. */
+const warmTo = 0.1;
+/** Instances that have to show the same: a single one may be slow, or have lost its memory by a restart. */
+const leastForgetting = 2;
+/** Part of the estimate from which an instance's objects are enough to tell: with fewer, cold runs have other reasons, such as requests that strayed there. */
+const tellingPart = 0.5;
+/** Weight of the instances' latest judgement in a service's estimate. */
 const judgementWeight = 0.2;
 
 /**
@@ -37,20 +41,8 @@
 
 	/** Judges the instances by what was counted. */
 	judge(instances: readonly JudgedInstance[], nowMs: number): void {
-		for (const {id, service, objects} of instances) {
-			const {warm, cold} = this.#runsOf(id, nowMs);
-			const coldShare = cold / (warm + cold);
-			const before = this.keptBy(service);
-			if (warm + cold < leastRuns) {
-				continue;
-			}
-
-			if (coldShare >= coldShareFrom) {
-				const seen = Math.max(1, objects * (1 - coldShare));
-				this.#kept.set(service, before === Number.POSITIVE_INFINITY ? seen : before + (judgementWeight * (Math.min(seen, objects) - before)));
-			} else if (coldShare <= warmShareTo && objects > before) {
-				this.#kept.set(service, before + (judgementWeight * (objects - before)));
-			}
+		for (const service of new Set(instances.map(instance => instance.service))) {
+			this.#judgeService(service, instances.filter(instance => instance.service === service), nowMs);
 		}
 
 		const present = new Set(instances.map(instance => instance.id));
@@ -66,6 +58,26 @@
 		return this.#kept.get(service) ?? Number.POSITIVE_INFINITY;
 	}
 
+	/** Only instances that forget although they have no fewer objects than those that stay warm tell of a limit; the one that stays warm for most counts. */
+	#judgeService(service: string, instances: readonly JudgedInstance[], nowMs: number): void {
+		const before = this.keptBy(service);
+		const judged = instances
+			.map(({id, objects}) => ({objects, ...this.#runsOf(id, nowMs)}))
+			.filter(({warm, cold}) => warm + cold >= leastRuns)
+			.map(({objects, warm, cold}) => ({objects, coldShare: cold / (warm + cold)}));
+		const warmFor = Math.max(1, ...judged.filter(({coldShare}) => coldShare <= warmTo).map(({objects}) => objects));
+		const forgetting = judged.filter(({objects, coldShare}) =>
+			coldShare >= forgettingFrom && objects >= warmFor && (before === Number.POSITIVE_INFINITY || objects >= tellingPart * before));
+		const seen = Math.max(warmFor, ...forgetting.map(({objects, coldShare}) => objects * (1 - coldShare)));
+		if (before === Number.POSITIVE_INFINITY) {
+			if (forgetting.length >= leastForgetting) {
+				this.#kept.set(service, seen);
+			}
+		} else if (seen > before || forgetting.length >= leastForgetting) {
+			this.#kept.set(service, before + (judgementWeight * (seen - before)));
+		}
+	}
+
 	#runsOf(instanceId: string, nowMs: number): Runs {
 		const runs = this.#runs.get(instanceId) ?? {warm: 0, cold: 0, updatedMs: nowMs};
 		const factor = Math.exp(-(nowMs - runs.updatedMs) / memoryMs);
--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -1,7 +1,6 @@
 import {type PlacementReport} from '../contracts/placement-report.js';
 import {type PlacementUpdate} from '../contracts/placement-update.js';
 import {type RegionLoad} from '../contracts/region-load.js';
-import {initialUrgentCount} from './initial-urgent-count.js';
 import {isMostUrgent} from './is-most-urgent.js';
 import {ObjectAssignments} from './object-assignments.js';
 import {ObjectCapacity} from './object-capacity.js';
@@ -14,7 +13,7 @@
 import {RouteTimes} from './route-times.js';
 import {SlowInstances} from './slow-instances.js';
 import {startRegion} from './start-region.js';
-import {urgentOrder} from './urgent-order.js';
+import {UrgentReserve} from './urgent-reserve.js';
 
 type PlannedObject = ReturnType<ObjectAssignments['obtain']>;
 
@@ -37,16 +36,6 @@
 	readonly hosts: ReadonlyMap<string, number>;
 };
 
-/** What decides how many instances of a service are kept for its most urgent requests. */
-type Division = {
-	readonly service: string;
-	readonly own: readonly PlanInstance[];
-	/** Objects that are asked for. */
-	readonly asked: readonly PlannedObject[];
-	/** The most urgent priority. */
-	readonly urgent: number;
-};
-
 /** Instances that serve the same objects: those for the most urgent requests of a service, or the rest. */
 type Pool = {readonly picture: PoolPicture; readonly objects: readonly PlannedObject[]};
 
@@ -63,11 +52,6 @@
 /** Time for which an object stays after a move, in milliseconds; at an overloaded instance, the shorter one. */
 const settleMs = 6000;
 const overloadSettleMs = 2000;
-/** Busy share of the instances for the most urgent requests above which there are more of them, and below which fewer. */
-const reserveBusyShare = 0.45;
-const reserveIdleShare = 0.25;
-/** Part of the objects that an instance stays warm for up to which the instances for the most urgent requests are filled. */
-const reserveFill = 0.75;
 /** Times the usual time from which a run counts as one of an instance that was not warm: those take about three times as long. */
 const coldFrom = 2;
 /** Longest time between the end of a run and a host's report of it, in milliseconds. */
@@ -94,12 +78,10 @@
 	readonly #regionLoads: RegionLoads;
 	readonly #slow = new SlowInstances();
 	readonly #capacity = new ObjectCapacity();
+	readonly #reserve = new UrgentReserve();
 	readonly #startMs: number;
-	/** Moment of the first requests for each service, in monotonic milliseconds. */
-	readonly #askedSinceMs = new Map<string, number>();
 	#lastTickMs: number | undefined;
 	#shiftCredit = 0;
-	#reserved: ReadonlySet<string> = new Set();
 	#reservations: PlacementUpdate['reserved'] = [];
 	/** Instances that take work. */
 	#present: ReadonlySet<string> = new Set();
@@ -161,7 +143,7 @@
 		return {
 			region: this.#region,
 			pools: this.#pools,
-			reserved: [...this.#reserved],
+			reserved: this.#reserve.ids,
 			offers: this.#offers,
 			uses: [...this.#uses].map(([id, slots]) => [id, round(slots)]),
 			times: this.#times.entries,
@@ -196,7 +178,9 @@
 		const pools = services.flatMap(service => this.#poolsOf(service, rated, nowMs));
 		const rate = pools.flatMap(pool => pool.objects).reduce((sum, object) => sum + object.demand.rate(nowMs), 0);
 		this.#shiftCredit = Math.min(shiftAtOnce * rate, this.#shiftCredit + (shiftPerSecond * rate * elapsedMs / 1000));
-		this.#capacity.judge(pools.flatMap(({picture}) => picture.own.map(instance => ({id: instance.id, service: instance.service, objects: picture.objectsAt(instance)}))), nowMs);
+		this.#capacity.judge(pools.flatMap(({picture}) => picture.own
+			.filter(instance => picture.busyShare(instance) < busyShare)
+			.map(instance => ({id: instance.id, service: instance.service, objects: picture.objectsAt(instance)}))), nowMs);
 		for (const pool of pools) {
 			this.#place(pool, nowMs);
 			if (!this.#isLearning(nowMs)) {
@@ -255,13 +239,16 @@
 		const seen = this.#isLearning(nowMs) || asked.length === 0 ? this.#priorities.get(service) ?? [] : asked.map(object => object.priority);
 		const urgent = Math.min(...seen);
 		const isMixed = seen.some(priority => priority > urgent);
+		if (asked.length > 0) {
+			this.#reserve.noteAsked(service, nowMs);
+		}
+
 		const isShared = own.length < 2 && !(away.length > 0 && this.#isCrowded(own, asked, nowMs));
-		const reserved = isMixed && !isShared
-			? this.#reserve({
-				service, own, asked, urgent,
-			}, nowMs)
-			: [];
-		this.#noteReserved(instances, reserved);
+		const reserved = isMixed && !isShared ? this.#reserve.choose(this.#needsOf(own, asked, urgent, nowMs), nowMs) : [];
+		if (reserved.length === 0) {
+			this.#reserve.release(service);
+		}
+
 		const rest = [...own.filter(instance => !reserved.includes(instance)), ...away.filter(instance => !this.#regionLoads.isReserved(instance))];
 		if (reserved.length === 0) {
 			return [this.#pool(`${service}|rest`, rest, objects, nowMs)];
@@ -275,43 +262,24 @@
 		];
 	}
 
-	/** Replaces what is reserved among the instances of one service. */
-	#noteReserved(instances: readonly PlanInstance[], reserved: readonly PlanInstance[]): void {
-		const others = [...this.#reserved].filter(id => !instances.some(instance => instance.id === id));
-		this.#reserved = new Set([...others, ...reserved.map(instance => instance.id)]);
-	}
-
 	/** Whether an instance that is the only one of the region is too busy to serve requests of all priorities. */
 	#isCrowded([only]: readonly PlanInstance[], objects: readonly PlannedObject[], nowMs: number): boolean {
-		return only !== undefined && this.#totalDemand(objects, nowMs) / only.slots > (this.#reserved.has(only.id) ? returnShare : leaveShare);
+		return only !== undefined && this.#totalDemand(objects, nowMs) / only.slots > (this.#reserve.has(only.service, only.id) ? returnShare : leaveShare);
 	}
 
-	/**
-	 * Chooses the instances for the most urgent requests: enough for their load, and no fewer than their part of it, since an
-	 * instance stays warm for a few objects only. The number follows the load slowly. Slow instances are the last to be chosen.
-	 */
-	#reserve({service, own, asked, urgent}: Division, nowMs: number): readonly PlanInstance[] {
-		const slots = own.reduce((sum, instance) => sum + instance.slots, 0) / own.length;
-		const objects = asked.filter(object => object.priority === urgent);
-		const demand = this.#totalDemand(objects, nowMs);
-		const kept = this.#capacity.keptBy(service);
-		const part = demand === 0 ? 0 : demand / this.#totalDemand(asked, nowMs);
-		const current = own.filter(instance => this.#reserved.has(instance.id)).length;
-		const least = Math.max(Math.ceil(demand / (reserveBusyShare * slots)), Math.floor(part * own.length), Math.ceil(objects.length / (reserveFill * kept)));
-		const most = Math.max(Math.ceil(demand / (reserveIdleShare * slots)), least);
-		const initial = this.#isUnknown(service, asked, nowMs) ? initialUrgentCount(own.length) : 1;
-		const count = Math.max(1, Math.min(own.length - 1, Math.max(initial, least, Math.min(most, current))));
-		const order = urgentOrder(service, own, instance => instance.id);
-		return order.toSorted((a, b) => Number(this.#slow.isSlow(a.id, nowMs)) - Number(this.#slow.isSlow(b.id, nowMs))).slice(0, count);
-	}
-
-	/** Whether a service's requests came for too short a time to tell its loads. */
-	#isUnknown(service: string, asked: readonly PlannedObject[], nowMs: number): boolean {
-		if (asked.length > 0 && !this.#askedSinceMs.has(service)) {
-			this.#askedSinceMs.set(service, nowMs);
-		}
-
-		return nowMs - (this.#askedSinceMs.get(service) ?? nowMs) < learningMs;
+	/** What decides how many of a service's own instances are kept for the requests of the most urgent priority. */
+	#needsOf(own: readonly PlanInstance[], asked: readonly PlannedObject[], urgent: number, nowMs: number) {
+		const {service} = own[0]!;
+		const urgentObjects = asked.filter(object => object.priority === urgent);
+		return {
+			service,
+			own,
+			urgentDemand: this.#totalDemand(urgentObjects, nowMs),
+			totalDemand: this.#totalDemand(asked, nowMs),
+			urgentObjects: urgentObjects.length,
+			kept: this.#capacity.keptBy(service),
+			isSlow: (id: string) => this.#slow.isSlow(id, nowMs),
+		};
 	}
 
 	#pool(name: string, instances: readonly PlanInstance[], objects: readonly PlannedObject[], nowMs: number): Pool {
--- a/src/services/send-observer.ts
+++ b/src/services/send-observer.ts
@@ -99,10 +99,10 @@
 
 		if ((load?.waiting ?? 0) === 0) {
 			this.#options.planner.countAnswer(service, route.prefix, tookMs);
-			if (route.hasAffinity && objectKey !== undefined) {
+			if (route.hasAffinity && objectKey !== undefined && expectedWaitMs === 0) {
 				this.#options.planner.countRun({
 					service, route: route.prefix, priority: route.priority, objectKey, instanceId: entry.instance.id,
-				}, Math.max(0, tookMs - expectedWaitMs));
+				}, tookMs);
 			}
 		}
 	}
