--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -341,15 +341,13 @@
 		}
 	}
 
-	/** Moves objects between this region and others while this one is busy, or back while it is not, or the others are. */
+	/** Moves objects between this region and others while this one is busy, or back while it is not. */
 	#exchange(pool: Pool, nowMs: number): void {
 		const {picture} = pool;
 		if (picture.own.length === 0) {
 			return;
 		}
 
-		this.#retreat(pool, nowMs);
-
 		if (picture.ownShare < returnShare) {
 			this.#bringBack(pool, nowMs);
 		}
@@ -365,22 +363,6 @@
 		}
 	}
 
-	/** Takes objects from the busy instances of other regions to less busy ones: those regions need them for their own requests. */
-	#retreat(pool: Pool, nowMs: number): void {
-		const {picture, objects} = pool;
-		for (const object of objects) {
-			const from = picture.get(object.instanceId);
-			const isCrowded = from !== undefined && from.region !== this.#region && picture.share(from) > leaveShare;
-			if (!isCrowded || nowMs - object.movedMs < overloadSettleMs || this.#demand(object, nowMs) <= leastDemand || this.#shiftCredit <= 0) {
-				continue;
-			}
-
-			const home = mayRunIn(object, this.#region) ? picture.leastBusy(picture.own) : undefined;
-			const to = [home, this.#foreignTarget(pool, object, nowMs)].find(instance => instance !== undefined && picture.share(instance) + marginShare < picture.share(from));
-			this.#sendAway(picture, object, to, nowMs);
-		}
-	}
-
 	#bringBack({picture, objects}: Pool, nowMs: number): void {
 		const away = objects.filter(object => {
 			const instance = picture.get(object.instanceId);
