Lines of answers name the instance and the wait expected there

Cause: a line "request answered late" did not tell which instance answered, so that on-call could not tell a slow instance from a queue.

Ruled out: another line for each send, which would double the volume.

Change: the outcome of a request carries the instance and the expected wait; the lines of late and sampled answers and `cowslipspar explain` tell them.

Before: status and time alone.

--- a/src/cli/request-story.test.ts
+++ b/src/cli/request-story.test.ts
@@ -28,7 +28,7 @@
 	});
 
 	it('tells the latest end of a request that came back under the same id', () => {
-		const answered = line('2026-01-01T00:00:03Z', 'edge-2', 'request answered late', {status: 200, tookMs: 900});
-		expect(requestStory([answered, ...refused].join('\n'), 'r1').ending).toBe('request answered late with status 200 by edge-2 after 900 ms');
+		const answered = line('2026-01-01T00:00:03Z', 'edge-2', 'request answered late', {status: 200, tookMs: 900, instance: 'i-1'});
+		expect(requestStory([answered, ...refused].join('\n'), 'r1').ending).toBe('request answered late with status 200 of i-1 by edge-2 after 900 ms');
 	});
 });
--- a/src/cli/request-story.ts
+++ b/src/cli/request-story.ts
@@ -57,5 +57,5 @@
 		return `${String(line.outcome)} at ${line.host} after ${String(line.tookMs)} ms: ${meanings[reason] ?? reason}`;
 	}
 
-	return line.message.startsWith('request answered') ? `${line.message} with status ${String(line.status)} by ${line.host} after ${String(line.tookMs)} ms` : undefined;
+	return line.message.startsWith('request answered') ? `${line.message} with status ${String(line.status)} of ${String(line.instance)} by ${line.host} after ${String(line.tookMs)} ms` : undefined;
 }
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -108,10 +108,16 @@
 		};
 		if (outcome.kind !== 'answer') {
 			logger.request('request ended without an answer of an instance', {...fields, outcome: outcome.kind, reason: outcome.reason});
-		} else if (route !== undefined && tookMs > route.targetMs) {
-			logger.request('request answered late', {...fields, status: outcome.result.status});
+			return;
+		}
+
+		const answer = {
+			...fields, status: outcome.result.status, instance: outcome.instanceId, expectedWaitMs: Math.round(outcome.expectedWaitMs),
+		};
+		if (route !== undefined && tookMs > route.targetMs) {
+			logger.request('request answered late', answer);
 		} else if (hashText(req.requestId ?? '') % sampledOneIn === 0) {
-			logger.request('request answered', {...fields, status: outcome.result.status});
+			logger.request('request answered', answer);
 		}
 	}
 
@@ -203,7 +209,9 @@
 			last = await this.#send(passage, choice.entry, choice.waitMs);
 			if (last.kind === 'whole' || last.kind === 'partial') {
 				plan.ended('answered');
-				return {kind: 'answer', result: last};
+				return {
+					kind: 'answer', result: last, instanceId: choice.entry.instance.id, expectedWaitMs: choice.waitMs,
+				};
 			}
 
 			if (!plan.ended(toSendResult(last)) || passage.body.kind === 'stream') {
