--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -11,6 +11,7 @@
 import {RegionLoads} from './region-loads.js';
 import {rendezvousOrder} from './rendezvous-order.js';
 import {RouteTimes} from './route-times.js';
+import {ShiftBudget} from './shift-budget.js';
 import {SlowInstances} from './slow-instances.js';
 import {startRegion} from './start-region.js';
 import {UrgentReserve} from './urgent-reserve.js';
@@ -61,10 +62,6 @@
 const returnShare = 0.4;
 /** Share of the region's slots that are offered to other regions when they are free. */
 const offeredShare = 0.8;
-/** Share of the region's work that may change its region in a second; with what may change at once, below the usual 0.15 in two. */
-const shiftPerSecond = 0.045;
-/** Share of the region's work that may change its region at once. */
-const shiftAtOnce = 0.04;
 
 /**
  * Plans which instance serves which object of the requests that enter in one region. Objects stay where they are warm;
@@ -80,8 +77,7 @@
 	readonly #capacity = new ObjectCapacity();
 	readonly #reserve = new UrgentReserve();
 	readonly #startMs: number;
-	#lastTickMs: number | undefined;
-	#shiftCredit = 0;
+	readonly #shifts = new ShiftBudget();
 	#reservations: PlacementUpdate['reserved'] = [];
 	/** Instances that take work. */
 	#present: ReadonlySet<string> = new Set();
@@ -162,8 +158,6 @@
 
 	/** Adapts the plan to the instances that take work now. */
 	tick({instances, priorities, hosts}: Surroundings, nowMs: number): void {
-		const elapsedMs = Math.min(1000, nowMs - (this.#lastTickMs ?? nowMs));
-		this.#lastTickMs = nowMs;
 		this.#assignments.forget(nowMs);
 		this.#offers = [];
 		this.#pools = [];
@@ -177,7 +171,7 @@
 		const rated = instances.map(instance => ({...instance, slots: instance.slots / this.#slow.slownessOf(instance.id, nowMs)}));
 		const pools = services.flatMap(service => this.#poolsOf(service, rated, nowMs));
 		const rate = pools.flatMap(pool => pool.objects).reduce((sum, object) => sum + object.demand.rate(nowMs), 0);
-		this.#shiftCredit = Math.min(shiftAtOnce * rate, this.#shiftCredit + (shiftPerSecond * rate * elapsedMs / 1000));
+		this.#shifts.advance(rate, nowMs);
 		this.#capacity.judge(pools.flatMap(({picture}) => picture.own
 			.filter(instance => picture.busyShare(instance) < busyShare)
 			.map(instance => ({id: instance.id, service: instance.service, objects: picture.objectsAt(instance)}))), nowMs);
@@ -335,8 +329,8 @@
 
 	/** Moves an object to another region; until the cap on shifts allows it, the object stays. */
 	#sendAway(picture: PoolPicture, object: PlannedObject, to: PlanInstance | undefined, nowMs: number): void {
-		if (to !== undefined && this.#shiftCredit > 0) {
-			this.#shiftCredit -= object.demand.rate(nowMs);
+		if (to !== undefined && this.#shifts.isLeft) {
+			this.#shifts.spend(object.demand.rate(nowMs));
 			this.#move(picture, object, to, nowMs);
 		}
 	}
@@ -352,7 +346,7 @@
 			this.#bringBack(pool, nowMs);
 		}
 
-		while (picture.ownShare > leaveShare && this.#shiftCredit > 0) {
+		while (picture.ownShare > leaveShare && this.#shifts.isLeft) {
 			const object = this.#pick(pool, picture.busiestOwn()!, nowMs);
 			const to = object === undefined ? undefined : this.#foreignTarget(pool, object, nowMs);
 			if (object === undefined || to === undefined) {
