Status and quarantine from the command line on the users' platform

Cause: `cowslipspar status` needed the product's own interface; of the platform's daemon on-call had the metrics alone.

Ruled out: a second status service (the one there is takes what describes a host), readiness from the phase (a drained host is serving, and not ready; an existing test showed it).

Before: no answer.

--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -15,6 +15,7 @@
 import {ConfigService} from './services/config-service.js';
 import {DispatchService} from './services/dispatch-service.js';
 import {followDrains} from './services/follow-drains.js';
+import {gatewayHostStatus} from './services/gateway-host-status.js';
 import {GatewayService} from './services/gateway-service.js';
 import {HomeService} from './services/home-service.js';
 import {serveHttp} from './services/http-service.js';
@@ -280,14 +281,18 @@
 		.add({
 			name: 'status', requires: ['clock', 'members', 'config', 'dispatch', 'gateway', 'home', 'quarantine', 'stop', 'peerClient'],
 			start: ({get}) => new StatusService({
-				clock: get('clock'),
+				describe: () => gatewayHostStatus({
+					clock: get('clock'),
+					members: get('members'),
+					config: get('config'),
+					dispatch: get('dispatch'),
+					gateway: get('gateway'),
+					home: get('home'),
+					quarantine: get('quarantine'),
+					stop: get('stop'),
+				}),
+				isReady: () => get('config').current !== undefined && !get('members').membership.isLeaving,
 				members: get('members'),
-				config: get('config'),
-				dispatch: get('dispatch'),
-				gateway: get('gateway'),
-				home: get('home'),
-				quarantine: get('quarantine'),
-				stop: get('stop'),
 				peerClient: get('peerClient'),
 			}),
 		})
--- /dev/null
+++ b/src/services/gateway-host-status.ts
@@ -0,0 +1,51 @@
+import {type Clock} from '../contracts/clock.js';
+import {type HostStatus} from '../contracts/host-status.js';
+import {type ConfigService} from './config-service.js';
+import {type DispatchService} from './dispatch-service.js';
+import {type GatewayService} from './gateway-service.js';
+import {type HomeService} from './home-service.js';
+import {type MembersService} from './members-service.js';
+import {type QuarantineService} from './quarantine-service.js';
+import {type StopService} from './stop-service.js';
+
+type GatewayHost = {
+	readonly clock: Clock;
+	readonly members: MembersService;
+	readonly config: ConfigService;
+	readonly dispatch: DispatchService;
+	readonly gateway: GatewayService;
+	readonly home: HomeService;
+	readonly quarantine: QuarantineService;
+	readonly stop: StopService;
+};
+
+/** State of a host that serves callers of the product's own interface. */
+export function gatewayHostStatus({
+	members, config, dispatch, gateway, home, quarantine, stop, clock,
+}: GatewayHost): HostStatus {
+	const {self} = members.membership;
+	const nowMs = clock.nowMs();
+	const owns = [...dispatch.dispatchers()].map(([service, dispatcher]) => ({
+		service,
+		queued: dispatcher.queued,
+		inFlight: dispatcher.inFlight,
+		serviceMs: Math.round(dispatcher.serviceMs * 100) / 100,
+		instances: [...dispatcher.instances(nowMs)],
+	}));
+	const isStarting = config.current === undefined;
+	return {
+		id: self.id,
+		boot: self.boot,
+		region: self.region,
+		zone: self.zone,
+		callers: self.callers,
+		revision: config.current?.revision ?? 0,
+		phase: stop.isStopping ? 'stopping' : (isStarting ? 'starting' : 'serving'),
+		aliveMembers: members.membership.alive().length,
+		isConfident: members.isConfident(),
+		requestsInFlight: gateway.inFlight + dispatch.pending,
+		keysUnfinished: home.unfinished,
+		owns,
+		quarantined: quarantine.blocked().map(({fingerprint, service, instances}) => ({fingerprint, service, instances: [...instances]})),
+	};
+}
--- a/src/services/operator-server.ts
+++ b/src/services/operator-server.ts
@@ -20,14 +20,7 @@
 	app.get('/healthz', ctx => ctx.json({status: 'ok'}));
 	app.get('/readyz', ctx => (status.isReady() ? ctx.json({status: 'ready'}) : ctx.json({status: 'not ready', phase: status.host().phase}, 503)));
 	app.get('/metrics', ctx => ctx.text(metrics.render()));
-	app.get('/v1/status', async ctx => {
-		const scope = ctx.req.query('scope') ?? 'host';
-		if (scope === 'host') {
-			return ctx.json({hosts: [status.host()], silent: []});
-		}
-
-		return ctx.json(scope === 'region' ? await status.region() : await status.system());
-	});
+	app.get('/v1/status', async ctx => ctx.json(await status.of(ctx.req.query('scope') ?? 'host')));
 	app.get('/v1/members', ctx => ctx.json({
 		updates: members.membership.updates(),
 		regions: members.membership.otherRegions().map(region => ({region, hosts: members.membership.hostsOf(region)})),
--- a/src/services/status-service.ts
+++ b/src/services/status-service.ts
@@ -1,24 +1,14 @@
-import {type Clock} from '../contracts/clock.js';
 import {HostStatus} from '../contracts/host-status.js';
 import {type Member} from '../contracts/member.js';
-import {type ConfigService} from './config-service.js';
-import {type DispatchService} from './dispatch-service.js';
-import {type GatewayService} from './gateway-service.js';
-import {type HomeService} from './home-service.js';
 import {type MembersService} from './members-service.js';
 import {type PeerClient} from './peer-client.js';
-import {type QuarantineService} from './quarantine-service.js';
-import {type StopService} from './stop-service.js';
 
 type StatusOptions = {
-	readonly clock: Clock;
+	/** State of this host. */
+	readonly describe: () => HostStatus;
+	/** Whether this host serves callers: it has a configuration, and is neither stopping nor drained. */
+	readonly isReady: () => boolean;
 	readonly members: MembersService;
-	readonly config: ConfigService;
-	readonly dispatch: DispatchService;
-	readonly gateway: GatewayService;
-	readonly home: HomeService;
-	readonly quarantine: QuarantineService;
-	readonly stop: StopService;
 	readonly peerClient: PeerClient;
 };
 
@@ -33,38 +23,31 @@
 		this.#options = options;
 	}
 
-	/** Whether this host serves callers: it has a configuration and is not stopping. */
+	/** Whether this host serves callers. */
 	isReady(): boolean {
-		return this.#options.config.current !== undefined && !this.#options.members.membership.isLeaving;
+		return this.#options.isReady();
 	}
 
+	/** State of this host. */
 	host(): HostStatus {
-		const {members, config, dispatch, gateway, home, quarantine, stop, clock} = this.#options;
-		const {self} = members.membership;
-		const nowMs = clock.nowMs();
-		const owns = [...dispatch.dispatchers()].map(([service, dispatcher]) => ({
-			service,
-			queued: dispatcher.queued,
-			inFlight: dispatcher.inFlight,
-			serviceMs: Math.round(dispatcher.serviceMs * 100) / 100,
-			instances: [...dispatcher.instances(nowMs)],
-		}));
-		const isStarting = config.current === undefined;
-		return {
-			id: self.id,
-			boot: self.boot,
-			region: self.region,
-			zone: self.zone,
-			callers: self.callers,
-			revision: config.current?.revision ?? 0,
-			phase: stop.isStopping ? 'stopping' : (isStarting ? 'starting' : 'serving'),
-			aliveMembers: members.membership.alive().length,
-			isConfident: members.isConfident(),
-			requestsInFlight: gateway.inFlight + dispatch.pending,
-			keysUnfinished: home.unfinished,
-			owns,
-			quarantined: quarantine.blocked().map(({fingerprint, service, instances}) => ({fingerprint, service, instances: [...instances]})),
-		};
+		return this.#options.describe();
+	}
+
+	/** State of the hosts of a scope: `region`, `system`, or this host for any other word. */
+	async of(scope: string): Promise<SystemStatus> {
+		switch (scope) {
+			case 'region': {
+				return this.region();
+			}
+
+			case 'system': {
+				return this.system();
+			}
+
+			default: {
+				return {hosts: [this.host()], silent: []};
+			}
+		}
 	}
 
 	/** State of each host of the region. */
--- /dev/null
+++ b/src/services/steering-operator-server.ts
@@ -0,0 +1,16 @@
+import {Hono} from 'hono';
+import {type Metrics} from './metrics.js';
+import {type QuarantineService} from './quarantine-service.js';
+import {type StatusService} from './status-service.js';
+
+type SteeringOperatorServerOptions = {readonly metrics: Metrics; readonly status: StatusService; readonly quarantine: QuarantineService};
+
+/** The operators' interface of a daemon that serves published routes: metrics, status and quarantine. */
+export function steeringOperatorServer({metrics, status, quarantine}: SteeringOperatorServerOptions): Hono {
+	const app = new Hono();
+	app.get('/metrics', ctx => ctx.text(metrics.render()));
+	app.get('/v1/status', async ctx => ctx.json(await status.of(ctx.req.query('scope') ?? 'host')));
+	app.get('/v1/quarantine', ctx => ctx.json({blocked: quarantine.blocked()}));
+	app.delete('/v1/quarantine/:fingerprint', async ctx => ctx.json({wasHeld: await quarantine.lift(ctx.req.param('fingerprint'))}));
+	return app;
+}
--- a/src/services/steering-router.ts
+++ b/src/services/steering-router.ts
@@ -7,8 +7,15 @@
 import {type PlannerService} from './planner-service.js';
 import {type QuarantineService} from './quarantine-service.js';
 import {type ReplicaService} from './replica-service.js';
+import {type StatusService} from './status-service.js';
 
-type SteeringRouterOptions = {readonly members: MembersService; readonly quarantine: QuarantineService; readonly replica: ReplicaService; readonly planner: PlannerService};
+type SteeringRouterOptions = {
+	readonly members: MembersService;
+	readonly quarantine: QuarantineService;
+	readonly replica: ReplicaService;
+	readonly planner: PlannerService;
+	readonly status: StatusService;
+};
 
 function createRouter(options: SteeringRouterOptions) {
 	const trpc = initTRPC.create();
@@ -20,6 +27,8 @@
 		report: trpc.procedure.input(PlacementReport).mutation(({input}) => options.planner.takeReport(input)),
 		/** Another region's load and offers, for the planner of this one. */
 		regionLoad: trpc.procedure.input(z.object({load: RegionLoad, isRelayed: z.boolean()})).mutation(async ({input}) => options.planner.takeRegionLoad(input.load, input.isRelayed)),
+		hostStatus: trpc.procedure.query(() => options.status.host()),
+		regionStatus: trpc.procedure.query(async () => options.status.region()),
 	});
 }
 
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -32,10 +32,13 @@
 import {Readiness} from './services/readiness.js';
 import {ReplicaService} from './services/replica-service.js';
 import {RosterService} from './services/roster-service.js';
+import {steeringHostStatus} from './services/steering-host-status.js';
+import {steeringOperatorServer} from './services/steering-operator-server.js';
 import {steeringPeerServer} from './services/steering-peer-server.js';
 import {SteeringRouter} from './services/steering-router.js';
 import {SteeringService} from './services/steering-service.js';
 import {SendObserver} from './services/send-observer.js';
+import {StatusService} from './services/status-service.js';
 import {StopService} from './services/stop-service.js';
 
 /** What the operators' platform supplies: its store, and the names and formats that it uses. */
@@ -312,9 +315,27 @@
 			},
 		})
 		.add({
-			name: 'peerServer', requires: ['members', 'quarantine', 'replica', 'planner'], async start({get, lifecycle}) {
+			name: 'status', requires: ['members', 'steering', 'proxy', 'quarantine', 'readiness', 'stop', 'peerClient'],
+			start: ({get}) => new StatusService({
+				describe: () => steeringHostStatus({
+					members: get('members'), steering: get('steering'), proxy: get('proxy'), quarantine: get('quarantine'), readiness: get('readiness'), stop: get('stop'),
+				}),
+				isReady: () => get('readiness').isReady(),
+				members: get('members'),
+				peerClient: get('peerClient'),
+			}),
+		})
+		.add({
+			name: 'operatorServer', requires: ['metrics', 'status', 'quarantine'], async start({get, lifecycle}) {
+				const app = steeringOperatorServer({metrics: get('metrics'), status: get('status'), quarantine: get('quarantine')});
+				await serveHttp(app, {address: settings.listen.metrics, receiveTimeoutMs}, lifecycle);
+				return {address: settings.listen.metrics};
+			},
+		})
+		.add({
+			name: 'peerServer', requires: ['members', 'quarantine', 'replica', 'planner', 'status'], async start({get, lifecycle}) {
 				const router = SteeringRouter.create({
-					members: get('members'), quarantine: get('quarantine'), replica: get('replica'), planner: get('planner'),
+					members: get('members'), quarantine: get('quarantine'), replica: get('replica'), planner: get('planner'), status: get('status'),
 				});
 				await serveHttp(steeringPeerServer(router), {address: settings.listen.peers, receiveTimeoutMs}, lifecycle);
 				return {address: settings.listen.peers};
--- a/test/steering-daemon.test.ts
+++ b/test/steering-daemon.test.ts
@@ -8,6 +8,7 @@
 import {KvStore} from '../platform/kv-store.js';
 import {readSettings} from '../platform/settings.js';
 import {steeringItems} from '../platform/steering-items.js';
+import {OperatorClient} from '../src/cli/operator-client.js';
 import {type Kernel} from '../src/kernel/kernel.js';
 import {createSteeringDaemon} from '../src/steering-daemon.js';
 import {collectBody} from '../stand-ins/collect-body.js';
@@ -411,6 +412,10 @@
 			};
 
 			await until(async () => namesHosts(2));
+			const status = await new OperatorClient(`${daemon.host}:7201`).status('system');
+			expect(status.success && status.data.hosts.map(host => [host.id, host.phase, host.revision])).toEqual([
+				[`edge-${daemon.host.replaceAll('.', '-')}`, 'serving', 3], [`edge-${other.host.replaceAll('.', '-')}`, 'serving', 3],
+			]);
 			store.setFaults({mode: 'busy'});
 			const stopping = other.kernel.get('stop').stop();
 			await until(async () => namesHosts(1));
