A fault soak of the platform's contract

Ruled out: one injector for both (the faults of store, instances and operators differ; load, truth and fleet are shared with the demo).

Before: none.

--- a/stand-ins/platform-documents.ts
+++ b/stand-ins/platform-documents.ts
@@ -24,6 +24,9 @@
 	/** Fields of a route whose requests may run at most once. */
 	unrepeatable: {route_type: 'non_idempotent'},
 
+	/** Fields of a route with a target, in milliseconds. */
+	withTarget: (targetMs: number) => ({target_latency_ms: targetMs}),
+
 	/** A configuration with its version, its routes and the services that they name. */
 	configuration: (version: number, routes: readonly RouteDocument[], services: readonly string[] = [routeDefaults.service]) => ({
 		version,
@@ -43,9 +46,11 @@
 	}),
 
 	/** An instance's entry. */
-	instance: (address: string, {state = 'ready', zone = 'dsm-a', service = routeDefaults.service}: {readonly state?: string; readonly zone?: string; readonly service?: string} = {}) => ({
-		address, born: 1, info: {
+	instance: (address: string, {
+		state = 'ready', zone = 'dsm-a', service = routeDefaults.service, sequence = 1, born = 1,
+	}: {readonly state?: string; readonly zone?: string; readonly service?: string; readonly sequence?: number; readonly born?: number} = {}) => ({
+		address, born, info: {
 			service, version: 'v1', zone, slots: 3,
-		}, status: {state, sequence: 1, cold_remaining_ms: 0},
+		}, status: {state, sequence, cold_remaining_ms: 0},
 	}),
 };
--- a/tools/demo-platform.ts
+++ b/tools/demo-platform.ts
@@ -1,27 +1,22 @@
-import {Buffer} from 'node:buffer';
-import {randomUUID} from 'node:crypto';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {setTimeout as delay} from 'node:timers/promises';
-import {type Outcome} from '../src/contracts/outcome.js';
-import {SeededRandom} from '../src/decisions/seeded-random.js';
 import {platformDocuments} from '../stand-ins/platform-documents.js';
 import {LatencyTable} from './latency-table.js';
 import {PlatformFleet} from './platform-fleet.js';
-
-type Kind = {readonly name: string; readonly path: string; readonly method: 'GET' | 'POST'; readonly perSecond: number};
-type Answer = Awaited<ReturnType<ReturnType<PlatformFleet['client']>['send']>>;
+import {runPlatformLoad} from './platform-load.js';
+import {platformTruth} from './platform-truth.js';
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
 const host = 'shop.example';
-const kinds: readonly Kind[] = [
+const kinds = [
 	{
 		name: 'lot-view', path: '/lots/', method: 'GET', perSecond: 60,
 	},
 	{
 		name: 'settle', path: '/settle/', method: 'POST', perSecond: 30,
 	},
-];
+] as const;
 const {route, configuration, unrepeatable} = platformDocuments;
 const routes = [
 	route('lot-view', '/lots/', {service: 'catalogue'}),
@@ -34,9 +29,6 @@
 const lapseMs = 1000;
 const publishAfterMs = 1500;
 const stopAfterMs = 1500;
-const objects = 40;
-const deadlineMs = 2000;
-const refusalStatuses = new Set([408, 421, 429, 503]);
 
 /** Runs the daemon against stand-ins of the platform while an instance crashes, a configuration comes and a host stops; answers whether all promises were kept. */
 export async function demoPlatform(logFolder: string | undefined, say: (line: string) => void): Promise<boolean> {
@@ -52,16 +44,17 @@
 		const table = new LatencyTable();
 		const refused: string[] = [];
 		say(`clients send for ${loadMs / 1000} s`);
-		const sending = Promise.all(fleet.hosts.map(async ({zone}, index) => sendLoad({
-			client: fleet.client(zone, host), seed: index, perSecondPart: 1 / fleet.hosts.length, table, refused,
-		})));
+		const sending = runPlatformLoad({
+			fleet, host, kinds, durationMs: loadMs, seed: 1, table, refused,
+		});
 		const {stopCode, inForceMs} = await disturb(fleet, say);
 		await sending;
-		const result = judge(fleet, table, refused);
+		const broken = platformTruth(fleet, refused);
+		const rows = table.summaries();
 		say(table.lines().join('\n'));
-		const isGood = stopCode === 0 && result.doubleRuns === 0 && result.falseRefusals === 0 && table.summaries().every(row => row.wrong === 0 && row.whole > 0);
+		const isGood = stopCode === 0 && broken.doubleRuns === 0 && broken.falseRefusals === 0 && rows.every(row => row.wrong === 0 && row.whole > 0);
 		process.stdout.write(`${JSON.stringify({
-			demo: 'platform', hosts: fleet.hosts.length, isGood, stopCode, inForceMs, ...result, kinds: table.summaries(),
+			demo: 'platform', hosts: fleet.hosts.length, isGood, stopCode, inForceMs, ...broken, sent: rows.reduce((sum, row) => sum + row.sent, 0), kinds: rows,
 		})}\n`);
 		return isGood;
 	} finally {
@@ -88,75 +81,3 @@
 	say(`${leaving} has ended with exit code ${stopCode}`);
 	return {stopCode, inForceMs};
 }
-
-type Load = {
-	readonly client: ReturnType<PlatformFleet['client']>;
-	readonly seed: number;
-	/** Part of each kind's rate that this client sends. */
-	readonly perSecondPart: number;
-	readonly table: LatencyTable;
-	/** Ids of the requests that were refused as not run. */
-	readonly refused: string[];
-};
-
-async function sendLoad({client, seed, perSecondPart, table, refused}: Load): Promise<void> {
-	const random = new SeededRandom(seed);
-	const endMs = performance.now() + loadMs;
-	const underWay: Array<Promise<void>> = [];
-	const sendOne = async (kind: Kind) => {
-		const id = randomUUID();
-		const sentMs = performance.now();
-		const answer = await client.send({
-			id, method: kind.method, path: `${kind.path}${id}`, objectKey: `k${Math.floor(random.next() * objects)}`, deadlineMs, body: kind.method === 'POST' ? id : '',
-		});
-		const outcome = toOutcome(answer);
-		if (outcome.kind === 'not-run') {
-			refused.push(id);
-		}
-
-		table.add(kind.name, outcome, performance.now() - sentMs, answer.kind === 'answered' && answer.text === `answer to ${id}`);
-	};
-
-	await Promise.all(kinds.map(async kind => {
-		while (performance.now() < endMs) {
-			await delay(-Math.log(1 - random.next()) * 1000 / (kind.perSecond * perSecondPart));
-			underWay.push(sendOne(kind));
-		}
-	}));
-	await Promise.all(underWay);
-}
-
-function toOutcome(answer: Answer): Outcome {
-	if (answer.kind === 'lost') {
-		return {kind: 'unknown', reason: 'connection_lost', detail: answer.detail};
-	}
-
-	if (refusalStatuses.has(answer.status)) {
-		return {
-			kind: 'not-run', reason: 'shed', detail: `status ${answer.status}`, retryAfterMs: answer.retryAfterMs,
-		};
-	}
-
-	return answer.status === 200
-		? {
-			kind: 'whole', status: answer.status, headers: {}, body: Buffer.from(answer.text), isReplay: false,
-		}
-		: {kind: 'unknown', reason: 'answer_broken', detail: `status ${answer.status}`};
-}
-
-/** Compares what clients were told with what the instances ran. */
-function judge(fleet: PlatformFleet, table: LatencyTable, refused: readonly string[]): {readonly doubleRuns: number; readonly falseRefusals: number; readonly sent: number} {
-	const runs = new Map<string, number>();
-	for (const {requestId, method} of fleet.instances.flatMap(({standIn}) => standIn.ran)) {
-		if (method === 'POST') {
-			runs.set(requestId, (runs.get(requestId) ?? 0) + 1);
-		}
-	}
-
-	const ran = new Set(fleet.instances.flatMap(({standIn}) => standIn.ran.map(({requestId}) => requestId)));
-	return {
-		doubleRuns: [...runs.values()].filter(count => count > 1).length,
-		falseRefusals: refused.filter(id => ran.has(id)).length,
-		sent: table.summaries().reduce((sum, row) => sum + row.sent, 0),
-	};
-}
--- /dev/null
+++ b/tools/platform-faults.ts
@@ -0,0 +1,228 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {type SeededRandom} from '../src/decisions/seeded-random.js';
+import {platformDocuments} from '../stand-ins/platform-documents.js';
+import {platformNames} from '../stand-ins/platform-names.js';
+import {type PlatformFleet} from './platform-fleet.js';
+
+type FaultName = 'kill' | 'kill-all' | 'freeze' | 'stop' | 'store-fault' | 'lost-answers' | 'compaction' | 'configuration' | 'crash' | 'drain' | 'evacuation' | 'misbehaviour';
+
+type FaultsOptions = {
+	readonly fleet: PlatformFleet;
+	readonly random: SeededRandom;
+	/** Puts the configuration of a version into the store. */
+	readonly publish: (version: number) => void;
+	readonly say: (line: string) => void;
+};
+
+type Instance = PlatformFleet['instances'][number];
+
+const names: readonly FaultName[] = ['kill', 'kill-all', 'freeze', 'stop', 'store-fault', 'lost-answers', 'compaction', 'configuration', 'crash', 'drain', 'evacuation', 'misbehaviour'];
+const storeModes = ['silent', 'busy', 'many', 'reset'] as const;
+const misbehaviours = ['shed', 'misdirect', 'crash', 'silent', 'fail', 'unsigned', 'wrong-id'] as const;
+/** Hosts, and instances, out of service at once. */
+const maxOut = 2;
+const shortestGapMs = 300;
+const gapRangeMs = 1500;
+const shortestFaultMs = 500;
+const faultRangeMs = 3500;
+/** Time after which a lost instance's entry lapses, in milliseconds. */
+const lapseMs = 1000;
+/** Time by which every host has to know that an instance drains, in milliseconds. */
+const drainMs = 2500;
+
+/** Brings about seeded random faults in a fleet on the platform's contract; several may overlap. */
+export class PlatformFaults {
+	static readonly names = names;
+
+	readonly counts = new Map<FaultName, number>();
+	/** Daemons that ended without being told to, and planned stops that did not end well. */
+	unexpectedExits = 0;
+	/** Requests that reached an instance when every host had to know that it drains. */
+	newWorkAfterDrain = 0;
+	readonly #options: FaultsOptions;
+	readonly #out = new Set<string>();
+	readonly #underWay = new Set<Promise<void>>();
+	#version = 1;
+	#lives = 0;
+
+	constructor(options: FaultsOptions) {
+		this.#options = options;
+	}
+
+	/** Version of the newest configuration. */
+	get version(): number {
+		return this.#version;
+	}
+
+	/** Injects faults for a time and waits until all have ended. */
+	async run(durationMs: number): Promise<void> {
+		const {random} = this.#options;
+		const endMs = performance.now() + durationMs;
+		while (performance.now() < endMs) {
+			await delay(shortestGapMs + random.below(gapRangeMs));
+			const fault = this.#inject(random.sample(names, 1)[0]!);
+			this.#underWay.add(fault);
+			void fault.finally(() => this.#underWay.delete(fault));
+			this.#countExits();
+		}
+
+		await Promise.all(this.#underWay);
+		this.#countExits();
+	}
+
+	async #inject(name: FaultName): Promise<void> {
+		const {random, fleet, say} = this.#options;
+		const lastMs = shortestFaultMs + random.below(faultRangeMs);
+		this.counts.set(name, (this.counts.get(name) ?? 0) + 1);
+		say(`fault: ${name}`);
+		switch (name) {
+			case 'kill':
+			case 'freeze':
+			case 'stop': {
+				return this.#onHost(async id => this.#disturbHost(name, id, lastMs));
+			}
+
+			case 'kill-all': {
+				return this.#killAll(lastMs);
+			}
+
+			case 'store-fault': {
+				fleet.store.setFaults({mode: random.sample(storeModes, 1)[0]!});
+				await delay(lastMs);
+				fleet.store.setFaults({});
+				return;
+			}
+
+			case 'lost-answers': {
+				fleet.store.setFaults({isLosingAnswers: true, slowMs: 100});
+				await delay(lastMs);
+				fleet.store.setFaults({});
+				return;
+			}
+
+			case 'compaction': {
+				fleet.store.compact();
+				return;
+			}
+
+			case 'configuration': {
+				this.#version++;
+				this.#options.publish(this.#version);
+				return;
+			}
+
+			case 'evacuation': {
+				const key = platformNames.evacuationKey(random.sample(fleet.hosts, 1)[0]!.zone);
+				fleet.store.write(key, {});
+				await delay(lastMs);
+				fleet.store.remove(key);
+				return;
+			}
+
+			case 'crash': {
+				return this.#onInstance(async instance => this.#crash(instance, lastMs));
+			}
+
+			case 'drain': {
+				return this.#onInstance(async instance => this.#drain(instance, lastMs));
+			}
+
+			case 'misbehaviour': {
+				return this.#onInstance(async ({standIn}) => {
+					standIn.behaviours = [random.sample(misbehaviours, 1)[0]!];
+					await delay(lastMs);
+					standIn.behaviours = ['answer'];
+				});
+			}
+		}
+	}
+
+	/** Does something to a host that nothing else is done to. */
+	async #onHost(disturb: (id: string) => Promise<void>): Promise<void> {
+		const {fleet, random} = this.#options;
+		const free = fleet.hosts.filter(({id}) => !this.#out.has(id));
+		if (fleet.hosts.length - free.length < maxOut) {
+			await this.#takingOut([random.sample(free, 1)[0]!.id], disturb);
+		}
+	}
+
+	/** Does something to an instance that nothing else is done to. */
+	async #onInstance(disturb: (instance: Instance) => Promise<void>): Promise<void> {
+		const {fleet, random} = this.#options;
+		const free = fleet.instances.filter(({id}) => !this.#out.has(id));
+		if (fleet.instances.length - free.length < maxOut) {
+			const [instance] = random.sample(free, 1);
+			await this.#takingOut([instance!.id], async () => disturb(instance!));
+		}
+	}
+
+	async #takingOut(ids: readonly string[], disturb: (id: string) => Promise<void>): Promise<void> {
+		for (const id of ids) {
+			this.#out.add(id);
+		}
+
+		await Promise.all(ids.map(async id => disturb(id)));
+		for (const id of ids) {
+			this.#out.delete(id);
+		}
+	}
+
+	async #disturbHost(name: 'kill' | 'freeze' | 'stop', id: string, lastMs: number): Promise<void> {
+		const {fleet} = this.#options;
+		switch (name) {
+			case 'freeze': {
+				fleet.daemon(id).signal('SIGSTOP');
+				await delay(lastMs);
+				fleet.daemon(id).signal('SIGCONT');
+				return;
+			}
+
+			case 'kill': {
+				await fleet.daemon(id).kill();
+				await delay(lastMs);
+				break;
+			}
+
+			case 'stop': {
+				this.unexpectedExits += await fleet.stopDaemon(id) === 0 ? 0 : 1;
+				break;
+			}
+		}
+
+		await fleet.startDaemon(id);
+	}
+
+	/** Ends every daemon that nothing else is done to, at once. */
+	async #killAll(lastMs: number): Promise<void> {
+		const {fleet} = this.#options;
+		const ids = fleet.hosts.map(({id}) => id).filter(id => !this.#out.has(id));
+		await this.#takingOut(ids, async id => this.#disturbHost('kill', id, lastMs));
+	}
+
+	/** Ends an instance without a word; a new one comes at its address. */
+	async #crash(instance: Instance, lastMs: number): Promise<void> {
+		const {fleet} = this.#options;
+		await fleet.crash(instance, lapseMs);
+		await delay(lastMs);
+		await fleet.revive(instance);
+	}
+
+	/** Drains an instance: what reaches it when everybody has to know counts against the system. */
+	async #drain({id, address, zone, service, standIn}: Instance, lastMs: number): Promise<void> {
+		const {store} = this.#options.fleet;
+		this.#lives++;
+		store.write(platformNames.instanceKey(id), platformDocuments.instance(address, {
+			zone, service, state: 'draining', sequence: this.#lives * 2,
+		}));
+		await delay(drainMs);
+		const before = standIn.ran.length;
+		await delay(lastMs);
+		this.newWorkAfterDrain += standIn.ran.length - before;
+		store.write(platformNames.instanceKey(id), platformDocuments.instance(address, {zone, service, sequence: (this.#lives * 2) + 1}));
+	}
+
+	#countExits(): void {
+		const {fleet} = this.#options;
+		this.unexpectedExits += fleet.hosts.filter(({id}) => !this.#out.has(id) && !fleet.daemon(id).isRunning).length;
+	}
+}
--- a/tools/platform-fleet.ts
+++ b/tools/platform-fleet.ts
@@ -49,6 +49,8 @@
 	readonly #options: FleetOptions;
 	readonly #folder = mkdtempSync(join(tmpdir(), 'cowslipspar-'));
 	readonly #daemons = new Map<string, Child>();
+	/** Moment of birth of the latest instance, as a count. */
+	#born = 1;
 
 	constructor(options: FleetOptions) {
 		this.#options = options;
@@ -84,22 +86,31 @@
 			mkdirSync(logFolder, {recursive: true});
 		}
 
+		await Promise.all(this.hosts.map(async ({id}) => this.startDaemon(id)));
+	}
+
+	/** Starts the daemon of one host and waits until it takes requests. */
+	async startDaemon(id: string): Promise<void> {
+		const {root, logFolder} = this.#options;
+		const host = this.hosts.find(item => item.id === id)!;
+		const file = join(this.#folder, `${id}.toml`);
 		const template = readFileSync(join(root, 'deploy', 'daemon.toml'), 'utf8');
-		const seeds = this.hosts.slice(0, 3).map(host => host.ip);
-		await Promise.all(this.hosts.map(async host => {
-			const file = join(this.#folder, `${host.id}.toml`);
-			writeFileSync(file, renderTemplate(template, platformSettingsFields({
-				...host, zones: regionByZone, seeds, storeAddress: `${store.host}:${store.port}`,
-			})));
-			this.#daemons.set(host.id, await Child.start({
-				script: join(root, 'target', 'cowslipspar.mjs'),
-				args: [],
-				env: {[platformNames.settingsVariable]: file},
-				waitsForReady: false,
-				...(logFolder !== undefined && {logFile: join(logFolder, `${host.id}.log`)}),
-			}));
-			await until(`${host.id} takes requests`, async () => await statusOf(platformNames.readinessUrl(host.ip)) === 200);
+		const seeds = this.hosts.slice(0, 3).map(({ip}) => ip);
+		writeFileSync(file, renderTemplate(template, platformSettingsFields({
+			...host, zones: regionByZone, seeds, storeAddress: `${store.host}:${store.port}`,
+		})));
+		this.#daemons.set(id, await Child.start({
+			script: join(root, 'target', 'cowslipspar.mjs'),
+			args: [],
+			env: {[platformNames.settingsVariable]: file},
+			waitsForReady: false,
+			...(logFolder !== undefined && {logFile: join(logFolder, `${id}.log`)}),
 		}));
+		await until(`${id} takes requests`, async () => await statusOf(platformNames.readinessUrl(host.ip)) === 200);
+	}
+
+	daemon(id: string): Child {
+		return this.#daemons.get(id)!;
 	}
 
 	/** A client in a zone, which asks the daemons of its region first. */
@@ -125,9 +136,21 @@
 		this.store.remove(platformNames.instanceKey(id));
 	}
 
+	/** Brings a new instance up at a lost one's address, under its id. */
+	async revive({id, zone, service, address, standIn}: Instance): Promise<void> {
+		this.#born++;
+		await standIn.listen(address.split(':')[0]!, instancePort);
+		this.store.write(platformNames.instanceKey(id), platformDocuments.instance(address, {zone, service, born: this.#born}));
+	}
+
+	/** Operators' address of a host. */
+	operators(id: string): string {
+		return platformNames.operatorsAddress(this.hosts.find(host => host.id === id)!.ip);
+	}
+
 	/** Stops a daemon by plan; answers its exit code. */
 	async stopDaemon(id: string): Promise<number> {
-		const child = this.#daemons.get(id)!;
+		const child = this.daemon(id);
 		child.signal('SIGTERM');
 		return child.exited;
 	}
--- /dev/null
+++ b/tools/soak-platform.ts
@@ -0,0 +1,92 @@
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {setTimeout as delay} from 'node:timers/promises';
+import {SeededRandom} from '../src/decisions/seeded-random.js';
+import {platformDocuments} from '../stand-ins/platform-documents.js';
+import {LatencyTable} from './latency-table.js';
+import {PlatformFaults} from './platform-faults.js';
+import {PlatformFleet} from './platform-fleet.js';
+import {runPlatformLoad} from './platform-load.js';
+import {platformTruth} from './platform-truth.js';
+import {VersionWatch} from './version-watch.js';
+
+type SoakOptions = {readonly seed: number; readonly minutes: number; readonly logFolder: string | undefined};
+
+const root = fileURLToPath(new URL('../..', import.meta.url));
+const host = 'shop.example';
+const services = ['catalogue', 'ledger'];
+const msPerMinute = 60_000;
+const settleMs = 3000;
+const shortestTargetMs = 200;
+const kinds = [
+	{
+		name: 'lot-view', path: '/lots/', method: 'GET', perSecond: 60,
+	},
+	{
+		name: 'settle', path: '/settle/', method: 'POST', perSecond: 30,
+	},
+] as const;
+const {
+	route, configuration, unrepeatable, withTarget,
+} = platformDocuments;
+
+/** The configuration of a version; each differs in one route's target. */
+const configurationOf = (version: number) => configuration(version, [
+	route('lot-view', '/lots/', {service: 'catalogue', ...withTarget(shortestTargetMs + version)}),
+	route('settle', '/settle/', {service: 'ledger', ...unrepeatable, priority: 0}),
+], services);
+
+/** Runs the daemon against stand-ins of the platform under load and seeded random faults; answers whether all promises were kept. */
+export async function soakPlatform({seed, minutes, logFolder}: SoakOptions, say: (line: string) => void): Promise<boolean> {
+	const fleet = new PlatformFleet({root, logFolder});
+	try {
+		await fleet.startStandIns(configurationOf(1));
+		await fleet.startDaemons();
+		say(`${fleet.hosts.length} hosts take requests; seed ${seed}`);
+		const durationMs = minutes * msPerMinute;
+		const table = new LatencyTable();
+		const refused: string[] = [];
+		const faults = new PlatformFaults({
+			fleet,
+			random: new SeededRandom(seed),
+			publish(version) {
+				fleet.publish(configurationOf(version));
+			},
+			say,
+		});
+		const watch = new VersionWatch(fleet);
+		await Promise.all([
+			runPlatformLoad({
+				fleet, host, kinds, durationMs, seed, table, refused,
+			}),
+			faults.run(durationMs),
+		]);
+		await delay(settleMs);
+		await watch.close();
+		const rows = table.summaries();
+		const broken = {
+			...platformTruth(fleet, refused),
+			wrongAnswers: rows.reduce((sum, row) => sum + row.wrong, 0),
+			newWorkAfterDrain: faults.newWorkAfterDrain,
+			configReverts: watch.reverts,
+			hostsBehind: await watch.countBehind(faults.version),
+			unexpectedExits: faults.unexpectedExits,
+		};
+		const isGood = Object.values(broken).every(count => count === 0);
+		say(table.lines().join('\n'));
+		process.stdout.write(`${JSON.stringify({
+			soak: 'platform',
+			seed,
+			minutes,
+			hosts: fleet.hosts.length,
+			faults: Object.fromEntries(faults.counts),
+			versions: faults.version,
+			...broken,
+			isGood,
+			kinds: rows,
+		})}\n`);
+		return isGood;
+	} finally {
+		await fleet.close();
+	}
+}
--- a/tools/soak.ts
+++ b/tools/soak.ts
@@ -1,28 +1,24 @@
 import process from 'node:process';
-import {setTimeout as delay} from 'node:timers/promises';
 import meow from 'meow';
-import {Caller} from '../src/caller.js';
-import {SeededRandom} from '../src/decisions/seeded-random.js';
 import {FaultInjector} from './fault-injector.js';
-import {Fleet} from './fleet.js';
-import {LatencyTable} from './latency-table.js';
-import {runLoad} from './load.js';
-import {startFleet} from './start-fleet.js';
-import {RevisionWatch} from './revision-watch.js';
-import {streamsOf} from './streams-of.js';
+import {soakInterface} from './soak-interface.js';
+import {soakPlatform} from './soak-platform.js';
 
 const cli = meow(`
 	Usage
-	  $ npm run soak -- [--seed N] [--minutes M] [--deployment mvule|barid] [--faults LIST]
+	  $ npm run soak -- [--seed N] [--minutes M] [--deployment mvule|barid] [--faults LIST] [--logs FOLDER]
+	  $ npm run soak -- --platform [--seed N] [--minutes M] [--logs FOLDER]
 
 	Runs stand-ins and 18 daemons under load and seeded random faults, compares every outcome with what the
-	upstreams ran, and ends with one JSON line; exit code 1 when a promise was broken.
+	upstreams ran, and ends with one JSON line; exit code 1 when a promise was broken. --platform runs the
+	daemon of deploy/ on six hosts against stand-ins of the users' platform instead.
 
 	Faults
 	  ${FaultInjector.names.join(', ')}, poison, flood
 `, {
 	importMeta: import.meta,
 	flags: {
+		platform: {type: 'boolean', default: false},
 		seed: {type: 'number', default: 1},
 		minutes: {type: 'number', default: 2},
 		deployment: {type: 'string', default: 'mvule', choices: ['mvule', 'barid']},
@@ -32,128 +28,16 @@
 	},
 });
 
-const meanMs = 15;
-const msPerMinute = 60_000;
-const settleMs = 3000;
-/** Requests a second of each class by priority, from 1, the most urgent. */
-const rates = [0, 15, 15, 8];
-const floodPerSecond = 400;
-const poisonPerSecond = 0.1;
-/** Instances that one request may crash. */
-const poisonLimit = 2;
-
 function say(line: string): void {
 	process.stderr.write(`${line}\n`);
 }
 
-const faults = cli.flags.faults.split(',');
-const fleet = new Fleet({
-	deployment: cli.flags.deployment as 'mvule' | 'barid', hostsPerZone: cli.flags.hostsPerZone, meanMs, seed: cli.flags.seed, ...(cli.flags.logs !== undefined && {logFolder: cli.flags.logs}),
-});
-const callers = fleet.publication.deployment.regions.map(region => new Caller({hosts: fleet.hosts.filter(host => host.region === region.name).map(host => host.callers)}));
-try {
-	await startFleet(fleet);
-	say(`${fleet.hosts.length} hosts serve; seed ${cli.flags.seed}`);
-	const durationMs = cli.flags.minutes * msPerMinute;
-	const table = new LatencyTable();
-	const refused: string[] = [];
-	const reasons = new Map<string, number>();
-	const base = streamsOf(fleet.publication, priority => rates[priority] ?? 0);
-	const repeatable = base.find(stream => stream.isRepeatable)!;
-	const streams = [
-		...base,
-		...(faults.includes('poison') ? [{...repeatable, perSecond: poisonPerSecond, marker: 'poison-'}] : []),
-	];
-	const onFinished: Parameters<typeof runLoad>[0]['onFinished'] = ({stream, outcome, latencyMs, isOwn, body}) => {
-		table.add(`${stream.service}/${stream.className}${stream.marker ?? ''}`, outcome, latencyMs, isOwn);
-		if (outcome.kind !== 'whole') {
-			const reason = `${stream.isRepeatable ? 'repeatable' : 'keyed'} ${outcome.kind} ${outcome.reason}`;
-			reasons.set(reason, (reasons.get(reason) ?? 0) + 1);
-		}
-
-		if (outcome.kind === 'not-run') {
-			refused.push(body);
-		}
-	};
-
-	const floods = async () => {
-		const flooded = {...base.at(-1)!, perSecond: floodPerSecond, deadlineMs: 2000};
-		const endMs = performance.now() + durationMs - 10_000;
-		while (faults.includes('flood') && performance.now() < endMs) {
-			await delay(15_000);
-			say('flood of the least urgent work for 5 s');
-			await runLoad({
-				streams: [flooded], callers, durationMs: 5000, random: new SeededRandom(cli.flags.seed + 2), onFinished,
-			});
-		}
-	};
-
-	const injector = new FaultInjector({
-		fleet, random: new SeededRandom(cli.flags.seed), faults: FaultInjector.names.filter(name => faults.includes(name)), say,
-	});
-	const watch = new RevisionWatch(fleet);
-	const injecting = injector.run(durationMs);
-	await Promise.all([
-		runLoad({
-			streams, callers, durationMs, random: new SeededRandom(cli.flags.seed + 1), onFinished,
-		}),
-		injecting,
-		floods(),
-	]);
-	await delay(settleMs);
-	watch.close();
-
-	const truth = await fleet.upstreams('/truth');
-	const runsByBody = new Map<string, number>();
-	const runsByKey = new Map<string, number>();
-	let newWorkAfterLeaving = 0;
-	for (const instance of truth) {
-		newWorkAfterLeaving += Number(instance.newWorkAfterLeaving);
-		for (const [counts, from] of [[runsByBody, instance.runsByBody], [runsByKey, instance.runsByKey]] as const) {
-			for (const [key, runs] of Object.entries(from as Record<string, number>)) {
-				counts.set(key, (counts.get(key) ?? 0) + runs);
-			}
-		}
-	}
-
-	const rows = table.summaries();
-	const sum = (pick: (row: (typeof rows)[number]) => number) => rows.reduce((total, row) => total + pick(row), 0);
-	const broken = {
-		doubleRuns: [...runsByKey.values()].filter(runs => runs > 1).length,
-		falseNotRun: refused.filter(body => runsByBody.has(body)).length,
-		wrongAnswers: sum(row => row.wrong),
-		cutByStop: injector.cutByStop,
-		newWorkAfterLeaving,
-		poisonOverruns: [...runsByBody].filter(([body, runs]) => body.startsWith('poison-') && runs > poisonLimit).length,
-		configReverts: watch.reverts,
-		brokenInvariants: injector.unexpectedExits,
-	};
-	say(table.lines().join('\n'));
-	for (const [reason, count] of [...reasons].toSorted((a, b) => b[1] - a[1])) {
-		say(`${String(count).padStart(7)} ${reason}`);
-	}
-
-	const isGood = Object.values(broken).every(count => count === 0);
-	process.stdout.write(`${JSON.stringify({
-		soak: cli.flags.deployment,
-		seed: cli.flags.seed,
-		minutes: cli.flags.minutes,
-		hosts: fleet.hosts.length,
-		faults: Object.fromEntries(injector.counts),
-		requests: sum(row => row.sent),
-		whole: sum(row => row.whole),
-		notRun: sum(row => row.notRun),
-		unknown: sum(row => row.unknown),
-		publications: watch.highest,
-		...broken,
-		isGood,
-		classes: rows,
-	})}\n`);
-	process.exitCode = isGood ? 0 : 1;
-} finally {
-	for (const caller of callers) {
-		caller.close();
-	}
-
-	await fleet.close();
-}
+const {
+	platform, seed, minutes, deployment, hostsPerZone, faults, logs: logFolder,
+} = cli.flags;
+const isGood = platform
+	? await soakPlatform({seed, minutes, logFolder}, say)
+	: await soakInterface({
+		deployment: deployment as 'mvule' | 'barid', hostsPerZone, seed, minutes, faults: faults.split(','), logFolder,
+	}, say);
+process.exitCode = isGood ? 0 : 1;
