A test that busy instances teach nothing about kept objects

Ruled out: a test of the estimate's class alone, which never sees loads.

Before and after: no change of the daemon.

--- a/src/decisions/placement-plan.test.ts
+++ b/src/decisions/placement-plan.test.ts
@@ -328,6 +328,18 @@
 		expect(Math.max(...counts)).toBeLessThanOrEqual(kept + 1);
 	});
 
+	it.each([[8, 0], [2, 1]])('learns how many objects instances stay warm for from idle ones alone: %i requests a second for each object', (perSecond, estimates) => {
+		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
+		play(plan, {
+			instances: instancesOf('a', 4), objects, perSecond, fromMs: 0, forMs: 15_000,
+		}, nowMs => {
+			plan.report({
+				haveVersion: 0, known: [], host: 'h2', slow: [], runs: objects.map((object, index) => ['s', '/r/', 0, object, index % 2 === 0 ? 100 : 300]), routes: [], objects: [],
+			}, nowMs);
+		});
+		expect(plan.keptObjects).toHaveLength(estimates);
+	});
+
 	it('keeps a quarter of the instances for the most urgent until their load is known', () => {
 		const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
 		const instances = instancesOf('a', 40);
