Tools that are told to end take their processes along

Cause: a tool that was ended by a signal left its daemons and stand-ins running, since only its own clean-up ended them.

Ruled out: process groups (they would also end with the terminal's other work).

Change: children are ended when the tool exits, also on SIGINT, SIGTERM and SIGHUP. A tool that is killed outright still leaves them.

Before and after, the platform demo ended by SIGTERM after 5 s: six daemons left, none left.

--- a/tools/child.ts
+++ b/tools/child.ts
@@ -13,6 +13,22 @@
 	readonly waitsForReady: boolean;
 };
 
+/** Children that may still run; none outlives its tool, unless that is killed outright. */
+const running = new Set<ChildProcess>();
+const endingSignals = {SIGINT: 130, SIGTERM: 143, SIGHUP: 129} as const;
+
+process.once('exit', () => {
+	for (const child of running) {
+		child.kill('SIGCONT');
+		child.kill('SIGKILL');
+	}
+});
+for (const [signal, code] of Object.entries(endingSignals)) {
+	process.once(signal, () => {
+		process.exit(code);
+	});
+}
+
 /** One process started by a tool; only this handle ends it. */
 export class Child {
 	/** Starts a process with this Node.js. */
@@ -47,8 +63,10 @@
 
 	private constructor(child: ChildProcess) {
 		this.#process = child;
+		running.add(child);
 		this.exited = new Promise(resolve => {
 			child.once('exit', (code, signal) => {
+				running.delete(child);
 				resolve(code ?? (signal === 'SIGKILL' ? 137 : 1));
 			});
 		});
