The platform soak counts work after a drain only while the store answers

Ruled out: a longer time for all drains, which would hide late news.

Change: a drain that a fault of the store touches is not counted; each change of an instance's entry has a sequence of its own.

--- a/tools/platform-faults.ts
+++ b/tools/platform-faults.ts
@@ -43,7 +43,10 @@
 	readonly #out = new Set<string>();
 	readonly #underWay = new Set<Promise<void>>();
 	#version = 1;
-	#lives = 0;
+	/** Moment at which the store's latest fault ended; infinite while it lasts. */
+	#storeFaultEndedMs = Number.NEGATIVE_INFINITY;
+	/** Of the latest change that an instance told of itself. */
+	#sequence = 1;
 
 	constructor(options: FaultsOptions) {
 		this.#options = options;
@@ -87,17 +90,11 @@
 			}
 
 			case 'store-fault': {
-				fleet.store.setFaults({mode: random.sample(storeModes, 1)[0]!});
-				await delay(lastMs);
-				fleet.store.setFaults({});
-				return;
+				return this.#withStore({mode: random.sample(storeModes, 1)[0]!}, lastMs);
 			}
 
 			case 'lost-answers': {
-				fleet.store.setFaults({isLosingAnswers: true, slowMs: 100});
-				await delay(lastMs);
-				fleet.store.setFaults({});
-				return;
+				return this.#withStore({isLosingAnswers: true, slowMs: 100}, lastMs);
 			}
 
 			case 'compaction': {
@@ -137,6 +134,15 @@
 		}
 	}
 
+	async #withStore(faults: Parameters<PlatformFleet['store']['setFaults']>[0], lastMs: number): Promise<void> {
+		const {store} = this.#options.fleet;
+		store.setFaults(faults);
+		this.#storeFaultEndedMs = Number.POSITIVE_INFINITY;
+		await delay(lastMs);
+		store.setFaults({});
+		this.#storeFaultEndedMs = performance.now();
+	}
+
 	/** Does something to a host that nothing else is done to. */
 	async #onHost(disturb: (id: string) => Promise<void>): Promise<void> {
 		const {fleet, random} = this.#options;
@@ -210,15 +216,21 @@
 	/** Drains an instance: what reaches it when everybody has to know counts against the system. */
 	async #drain({id, address, zone, service, standIn}: Instance, lastMs: number): Promise<void> {
 		const {store} = this.#options.fleet;
-		this.#lives++;
-		store.write(platformNames.instanceKey(id), platformDocuments.instance(address, {
-			zone, service, state: 'draining', sequence: this.#lives * 2,
-		}));
+		const tell = (state: string) => {
+			this.#sequence++;
+			store.write(platformNames.instanceKey(id), platformDocuments.instance(address, {
+				zone, service, state, sequence: this.#sequence,
+			}));
+		};
+
+		const toldMs = performance.now();
+		tell('draining');
 		await delay(drainMs);
 		const before = standIn.ran.length;
 		await delay(lastMs);
-		this.newWorkAfterDrain += standIn.ran.length - before;
-		store.write(platformNames.instanceKey(id), platformDocuments.instance(address, {zone, service, sequence: (this.#lives * 2) + 1}));
+		// Hosts learn of it from the store alone: nothing is promised while that does not answer.
+		this.newWorkAfterDrain += this.#storeFaultEndedMs > toldMs ? 0 : standIn.ran.length - before;
+		tell('ready');
 	}
 
 	#countExits(): void {
