--- /dev/null
+++ b/src/services/send-observer.test.ts
@@ -0,0 +1,77 @@
+import {describe, expect, it} from 'vitest';
+import {type InstanceResult} from '../contracts/instance-result.js';
+import {type Route} from '../contracts/route.js';
+import {InstanceSpeeds} from '../decisions/instance-speeds.js';
+import {InstanceTable} from '../decisions/instance-table.js';
+import {Metrics} from './metrics.js';
+import {type PlannerService} from './planner-service.js';
+import {SendObserver} from './send-observer.js';
+
+const route: Route = {
+	name: 'r',
+	host: 'shop.example',
+	prefix: '/r/',
+	isRepeatable: true,
+	timeoutMs: 1000,
+	targetMs: 200,
+	priority: 0,
+	targets: [{service: 's', weight: 1}],
+	maxAttempts: 2,
+	hasAffinity: true,
+	allowedRegions: [],
+};
+
+function answer(waiting: number): InstanceResult {
+	return {
+		kind: 'whole',
+		status: 200,
+		headers: [],
+		framing: 'length',
+		body: new Uint8Array(),
+		info: {
+			requestId: 'q', isSigned: true, isNotRun: false, isMisdirected: false, load: {running: 1, waiting, slots: 3},
+		},
+	};
+}
+
+/** Observes one send that takes 100 ms; answers the runs that the planner hears of. */
+function runsOf(result: InstanceResult, expectedWaitMs: number, sentRoute = route): number[] {
+	let nowMs = 0;
+	const runs: number[] = [];
+	const table = new InstanceTable({regionOf: new Map([['a-1', 'a']])});
+	table.write({
+		id: 'i', born: 1, service: 's', address: '10.0.0.1:80', zone: 'a-1', slots: 3, isDraining: false, coldMs: 0,
+	}, 0);
+	const planner = {
+		speeds: new InstanceSpeeds(),
+		countAnswer: () => undefined,
+		countRun(_: unknown, runMs: number) {
+			runs.push(runMs);
+		},
+	};
+	const observer = new SendObserver({
+		clock: {nowMs: () => nowMs}, metrics: new Metrics(), planner: planner as unknown as PlannerService, region: 'a',
+	});
+	const ended = observer.started({
+		service: 's', route: sentRoute, objectKey: 'k', entry: table.get('i')!, expectedWaitMs,
+	});
+	nowMs = 100;
+	ended(result);
+	return runs;
+}
+
+describe('what a send teaches about an instance\'s memory', () => {
+	it('is its time, when it did not wait', () => {
+		expect(runsOf(answer(0), 0)).toEqual([100]);
+	});
+
+	it('is nothing, when it may have waited', () => {
+		expect(runsOf(answer(0), 50)).toEqual([]);
+		expect(runsOf(answer(2), 0)).toEqual([]);
+	});
+
+	it('is nothing, when it brought no answer or its route has no affinity', () => {
+		expect(runsOf({kind: 'overdue'}, 0)).toEqual([]);
+		expect(runsOf(answer(0), 0, {...route, hasAffinity: false})).toEqual([]);
+	});
+});
