A status of an unknown scope is the whole system's again

Cause, on rereading the change: when the scope's choice moved into the status service, a word other than host and region came to mean this host; before, it meant the whole system.

--- a/src/services/status-service.ts
+++ b/src/services/status-service.ts
@@ -33,19 +33,19 @@
 		return this.#options.describe();
 	}
 
-	/** State of the hosts of a scope: `region`, `system`, or this host for any other word. */
+	/** State of the hosts of a scope: `host`, `region`, or the whole system for any other word. */
 	async of(scope: string): Promise<SystemStatus> {
 		switch (scope) {
-			case 'region': {
-				return this.region();
+			case 'host': {
+				return {hosts: [this.host()], silent: []};
 			}
 
-			case 'system': {
-				return this.system();
+			case 'region': {
+				return this.region();
 			}
 
 			default: {
-				return {hosts: [this.host()], silent: []};
+				return this.system();
 			}
 		}
 	}
