One piece each for what both daemons tell operators

Cause, on rereading the change: the operators' server of the platform's daemon wrote four routes of the product's again, the states of both kinds of hosts eight fields, both programs the time for the last log lines, and the items' copy one look-up of a key's revision twice; the list of slow instances judged each instance twice.

Change: operator-routes, which the product's server adds to; common-host-status; the flush time in the logger; one look-up.

--- a/src/bin/cowslipspard.ts
+++ b/src/bin/cowslipspard.ts
@@ -9,8 +9,6 @@
 
 const exitBadSettings = 2;
 const exitStartFailed = 3;
-/** Time at the end for lines that are still to be written, in milliseconds. */
-const logFlushMs = 200;
 const exitRequestsCut = 4;
 const logLevels = ['error', 'warn', 'info', 'debug'];
 
@@ -73,7 +71,7 @@
 		logger.error('a service did not stop cleanly', {service: failure.name, err: String(failure.err)});
 	}
 
-	await logger.flush(logFlushMs);
+	await logger.flush();
 	process.exit(cut === 0 ? 0 : exitRequestsCut);
 }
 
--- a/src/decisions/item-replica.ts
+++ b/src/decisions/item-replica.ts
@@ -61,8 +61,7 @@
 	}
 
 	#write(item: StoreItem): boolean {
-		const known = this.#items.get(item.key)?.revision ?? this.#removals.get(item.key)?.revision ?? this.#settledRevision;
-		if (item.revision <= known) {
+		if (item.revision <= this.#revisionOf(item.key)) {
 			return false;
 		}
 
@@ -74,8 +73,7 @@
 
 	/** Removals of unknown keys are remembered too: an older write may still be on its way here, and peers may know the key. */
 	#remove({key, revision, goneMs}: StoreChange & {kind: 'removed'}): boolean {
-		const known = this.#items.get(key)?.revision ?? this.#removals.get(key)?.revision ?? this.#settledRevision;
-		if (revision < known) {
+		if (revision < this.#revisionOf(key)) {
 			return false;
 		}
 
@@ -90,4 +88,9 @@
 
 		return isNews;
 	}
+
+	/** Revision of the latest change of a key that is known here. */
+	#revisionOf(key: string): number {
+		return this.#items.get(key)?.revision ?? this.#removals.get(key)?.revision ?? this.#settledRevision;
+	}
 }
--- a/src/decisions/slow-instances.ts
+++ b/src/decisions/slow-instances.ts
@@ -41,6 +41,6 @@
 	list(nowMs: number): Array<[instanceId: string, slowness: number]> {
 		return [...this.#judgements.keys()]
 			.map((id): [string, number] => [id, this.slownessOf(id, nowMs)])
-			.filter(([id]) => this.isSlow(id, nowMs));
+			.filter(([, slowness]) => slowness > 1);
 	}
 }
--- a/src/services/gateway-host-status.ts
+++ b/src/services/gateway-host-status.ts
@@ -1,5 +1,6 @@
 import {type Clock} from '../contracts/clock.js';
 import {type HostStatus} from '../contracts/host-status.js';
+import {commonHostStatus} from './common-host-status.js';
 import {type ConfigService} from './config-service.js';
 import {type DispatchService} from './dispatch-service.js';
 import {type GatewayService} from './gateway-service.js';
@@ -23,7 +24,6 @@
 export function gatewayHostStatus({
 	members, config, dispatch, gateway, home, quarantine, stop, clock,
 }: GatewayHost): HostStatus {
-	const {self} = members.membership;
 	const nowMs = clock.nowMs();
 	const owns = [...dispatch.dispatchers()].map(([service, dispatcher]) => ({
 		service,
@@ -34,18 +34,11 @@
 	}));
 	const isStarting = config.current === undefined;
 	return {
-		id: self.id,
-		boot: self.boot,
-		region: self.region,
-		zone: self.zone,
-		callers: self.callers,
+		...commonHostStatus(members, quarantine),
 		revision: config.current?.revision ?? 0,
 		phase: stop.isStopping ? 'stopping' : (isStarting ? 'starting' : 'serving'),
-		aliveMembers: members.membership.alive().length,
-		isConfident: members.isConfident(),
 		requestsInFlight: gateway.inFlight + dispatch.pending,
 		keysUnfinished: home.unfinished,
 		owns,
-		quarantined: quarantine.blocked().map(({fingerprint, service, instances}) => ({fingerprint, service, instances: [...instances]})),
 	};
 }
--- a/src/services/logger.ts
+++ b/src/services/logger.ts
@@ -10,6 +10,8 @@
 
 /** Bytes of lines that may wait while nobody reads standard output. */
 const maxWaitingBytes = 1_048_576;
+/** Time at the end of a process for lines that are still to be written, in milliseconds: within what a stop leaves of the grace time. */
+const flushMs = 200;
 
 /** Structured log: one JSON object a line on standard output, which never blocks the process. */
 export class Logger {
@@ -37,9 +39,9 @@
 		});
 	}
 
-	/** Waits until all lines are written, but no longer than a time in milliseconds. */
-	async flush(timeoutMs: number): Promise<void> {
-		return this.#output.flush(timeoutMs);
+	/** Waits until all lines are written, but not for a reader that has stopped. */
+	async flush(): Promise<void> {
+		return this.#output.flush(flushMs);
 	}
 
 	debug(message: string, fields: Readonly<Record<string, unknown>> = {}): void {
--- a/src/services/steering-operator-server.ts
+++ b/src/services/operator-routes.ts
@@ -3,10 +3,10 @@
 import {type QuarantineService} from './quarantine-service.js';
 import {type StatusService} from './status-service.js';
 
-type SteeringOperatorServerOptions = {readonly metrics: Metrics; readonly status: StatusService; readonly quarantine: QuarantineService};
+type OperatorRoutesOptions = {readonly metrics: Metrics; readonly status: StatusService; readonly quarantine: QuarantineService};
 
-/** The operators' interface of a daemon that serves published routes: metrics, status and quarantine. */
-export function steeringOperatorServer({metrics, status, quarantine}: SteeringOperatorServerOptions): Hono {
+/** What operators may ask every kind of daemon: metrics, status and quarantine. */
+export function operatorRoutes({metrics, status, quarantine}: OperatorRoutesOptions): Hono {
 	const app = new Hono();
 	app.get('/metrics', ctx => ctx.text(metrics.render()));
 	app.get('/v1/status', async ctx => ctx.json(await status.of(ctx.req.query('scope') ?? 'host')));
--- a/src/services/operator-server.ts
+++ b/src/services/operator-server.ts
@@ -1,7 +1,8 @@
-import {Hono} from 'hono';
+import {type Hono} from 'hono';
 import {type LookupService} from './lookup-service.js';
 import {type MembersService} from './members-service.js';
 import {type Metrics} from './metrics.js';
+import {operatorRoutes} from './operator-routes.js';
 import {type QuarantineService} from './quarantine-service.js';
 import {type StatusService} from './status-service.js';
 
@@ -16,11 +17,9 @@
 /** The operators' interface: health, readiness, metrics, status and quarantine. */
 export function operatorServer(options: OperatorServerOptions): Hono {
 	const {metrics, status, members, lookup, quarantine} = options;
-	const app = new Hono();
+	const app = operatorRoutes({metrics, status, quarantine});
 	app.get('/healthz', ctx => ctx.json({status: 'ok'}));
 	app.get('/readyz', ctx => (status.isReady() ? ctx.json({status: 'ready'}) : ctx.json({status: 'not ready', phase: status.host().phase}, 503)));
-	app.get('/metrics', ctx => ctx.text(metrics.render()));
-	app.get('/v1/status', async ctx => ctx.json(await status.of(ctx.req.query('scope') ?? 'host')));
 	app.get('/v1/members', ctx => ctx.json({
 		updates: members.membership.updates(),
 		regions: members.membership.otherRegions().map(region => ({region, hosts: members.membership.hostsOf(region)})),
@@ -37,7 +36,5 @@
 			owned: status.host().owns.find(item => item.service === service),
 		});
 	});
-	app.get('/v1/quarantine', ctx => ctx.json({blocked: quarantine.blocked()}));
-	app.delete('/v1/quarantine/:fingerprint', async ctx => ctx.json({wasHeld: await quarantine.lift(ctx.req.param('fingerprint'))}));
 	return app;
 }
--- a/src/services/steering-host-status.ts
+++ b/src/services/steering-host-status.ts
@@ -1,4 +1,5 @@
 import {type HostStatus} from '../contracts/host-status.js';
+import {commonHostStatus} from './common-host-status.js';
 import {type MembersService} from './members-service.js';
 import {type ProxyService} from './proxy-service.js';
 import {type QuarantineService} from './quarantine-service.js';
@@ -19,20 +20,12 @@
 export function steeringHostStatus({
 	members, steering, proxy, quarantine, readiness, stop,
 }: SteeringHost): HostStatus {
-	const {self} = members.membership;
 	return {
-		id: self.id,
-		boot: self.boot,
-		region: self.region,
-		zone: self.zone,
-		callers: self.callers,
+		...commonHostStatus(members, quarantine),
 		revision: steering.routes?.version ?? 0,
 		phase: stop.isStopping ? 'stopping' : (readiness.isReady() ? 'serving' : 'starting'),
-		aliveMembers: members.membership.alive().length,
-		isConfident: members.isConfident(),
 		requestsInFlight: proxy.inFlight,
 		keysUnfinished: 0,
 		owns: [],
-		quarantined: quarantine.blocked().map(({fingerprint, service, instances}) => ({fingerprint, service, instances: [...instances]})),
 	};
 }
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -25,6 +25,7 @@
 import {Logger} from './services/logger.js';
 import {MembersService} from './services/members-service.js';
 import {Metrics} from './services/metrics.js';
+import {operatorRoutes} from './services/operator-routes.js';
 import {PeerClient} from './services/peer-client.js';
 import {PlannerService} from './services/planner-service.js';
 import {ProxyService} from './services/proxy-service.js';
@@ -33,7 +34,6 @@
 import {ReplicaService} from './services/replica-service.js';
 import {RosterService} from './services/roster-service.js';
 import {steeringHostStatus} from './services/steering-host-status.js';
-import {steeringOperatorServer} from './services/steering-operator-server.js';
 import {steeringPeerServer} from './services/steering-peer-server.js';
 import {SteeringRouter} from './services/steering-router.js';
 import {SteeringService} from './services/steering-service.js';
@@ -327,7 +327,7 @@
 		})
 		.add({
 			name: 'operatorServer', requires: ['metrics', 'status', 'quarantine'], async start({get, lifecycle}) {
-				const app = steeringOperatorServer({metrics: get('metrics'), status: get('status'), quarantine: get('quarantine')});
+				const app = operatorRoutes({metrics: get('metrics'), status: get('status'), quarantine: get('quarantine')});
 				await serveHttp(app, {address: settings.listen.metrics, receiveTimeoutMs}, lifecycle);
 				return {address: settings.listen.metrics};
 			},
