Tools share the run of faults, the wait and the watch of revisions

Cause, on rereading the change: the platform's tools wrote again what the others had: the loop that injects faults, the wait for a condition, the watch that no revision goes back; demo and soak each had the same requests, and hosts and instances the same way out of service.

Change: run-faults, until and platform-scenario serve both; the revision watch takes any fleet whose hosts tell their state.

Ruled out: one injector, since the faults themselves differ.

--- a/tools/demo-platform.ts
+++ b/tools/demo-platform.ts
@@ -5,25 +5,17 @@
 import {LatencyTable} from './latency-table.js';
 import {PlatformFleet} from './platform-fleet.js';
 import {runPlatformLoad} from './platform-load.js';
+import {platformScenario} from './platform-scenario.js';
 import {platformTruth} from './platform-truth.js';
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
-const host = 'shop.example';
-const kinds = [
-	{
-		name: 'lot-view', path: '/lots/', method: 'GET', perSecond: 60,
-	},
-	{
-		name: 'settle', path: '/settle/', method: 'POST', perSecond: 30,
-	},
-] as const;
+const {host, services} = platformScenario;
 const {route, configuration, unrepeatable} = platformDocuments;
 const routes = [
 	route('lot-view', '/lots/', {service: 'catalogue'}),
 	route('settle', '/settle/', {service: 'ledger', ...unrepeatable, priority: 0}),
 ];
 const addedRoute = route('news', '/news/', {service: 'catalogue'});
-const services = ['catalogue', 'ledger'];
 const loadMs = 8000;
 const crashAfterMs = 2000;
 const lapseMs = 1000;
@@ -45,7 +37,7 @@
 		const refused: string[] = [];
 		say(`clients send for ${loadMs / 1000} s`);
 		const sending = runPlatformLoad({
-			fleet, host, kinds, durationMs: loadMs, seed: 1, table, refused,
+			fleet, durationMs: loadMs, seed: 1, table, refused,
 		});
 		const {stopCode, inForceMs} = await disturb(fleet, say);
 		await sending;
--- a/tools/fault-injector.ts
+++ b/tools/fault-injector.ts
@@ -4,6 +4,7 @@
 import {type SeededRandom} from '../src/decisions/seeded-random.js';
 import {Publisher} from '../src/publisher.js';
 import {type Fleet} from './fleet.js';
+import {runFaults} from './run-faults.js';
 
 type FaultName = 'kill' | 'freeze' | 'stop' | 'store-outage' | 'store-slow' | 'lost-answers' | 'race' | 'silence' | 'lying' | 'leaving' | 'crash' | 'shed';
 
@@ -18,6 +19,8 @@
 const cutByStopCode = 4;
 /** Hosts out of service at once. */
 const maxHostsOut = 4;
+const shortestGapMs = 500;
+const gapRangeMs = 2500;
 
 /** Brings about seeded random faults in a fleet; several may overlap. */
 export class FaultInjector {
@@ -30,7 +33,6 @@
 	unexpectedExits = 0;
 	readonly #options: InjectorOptions;
 	readonly #out = new Set<string>();
-	readonly #underWay = new Set<Promise<void>>();
 	#publication = 1;
 
 	constructor(options: InjectorOptions) {
@@ -40,18 +42,15 @@
 	/** Injects faults for a time and waits until all have ended. */
 	async run(durationMs: number): Promise<void> {
 		const {random, faults} = this.#options;
-		const endMs = performance.now() + durationMs;
-		while (performance.now() < endMs) {
-			await delay(500 + random.below(2500));
-			const [name] = random.sample(faults, 1);
-			const fault = this.#inject(name!);
-			this.#underWay.add(fault);
-			void fault.finally(() => this.#underWay.delete(fault));
-			await this.#countExits();
-		}
-
-		await Promise.all(this.#underWay);
-		await this.#countExits();
+		await runFaults({
+			random,
+			names: faults,
+			durationMs,
+			shortestGapMs,
+			gapRangeMs,
+			inject: async name => this.#inject(name),
+			check: async () => this.#countExits(),
+		});
 	}
 
 	async #inject(name: FaultName): Promise<void> {
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -4,12 +4,12 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {setTimeout as delay} from 'node:timers/promises';
 import {request} from 'undici';
 import {collectPublication} from '../src/config/collect-publication.js';
 import {type Publication} from '../src/config/publication.js';
 import {type HostStatus} from '../src/contracts/host-status.js';
 import {Child} from './child.js';
+import {until} from './until.js';
 
 type FleetOptions = {
 	readonly deployment: 'mvule' | 'barid';
@@ -36,7 +36,6 @@
 };
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
-const readyTimeoutMs = 20_000;
 
 /** Stand-ins and daemons of one deployment, each a process of its own on loopback addresses. */
 export class Fleet {
@@ -113,7 +112,7 @@
 			script, args: ['--config', file], waitsForReady: false, ...(logFolder !== undefined && {logFile: join(logFolder, `${id}.log`)}),
 		}));
 		this.#leaving.delete(id);
-		await this.until(`${id} lives`, async () => {
+		await until(`${id} lives`, async () => {
 			const health = await this.#get(host.operators, '/healthz');
 			return health?.status === 200;
 		});
@@ -165,7 +164,7 @@
 			perRegion.set(host.region, (perRegion.get(host.region) ?? 0) + 1);
 		}
 
-		await this.until('all hosts serve', async () => {
+		await until('all hosts serve', async () => {
 			const states = await Promise.all(running.map(async host => ({host, status: await this.status(host.id)})));
 			return states.every(({host, status}) => status?.phase === 'serving' && status.aliveMembers === perRegion.get(host.region));
 		});
@@ -190,20 +189,6 @@
 		rmSync(this.#folder, {recursive: true, force: true});
 	}
 
-	/** Polls until a condition holds; fails after a time. */
-	async until(what: string, isMet: () => Promise<boolean>, timeoutMs = readyTimeoutMs): Promise<void> {
-		const endMs = Date.now() + timeoutMs;
-		while (Date.now() < endMs) {
-			if (await isMet()) {
-				return;
-			}
-
-			await delay(50);
-		}
-
-		throw new Error(`waited ${timeoutMs} ms in vain: ${what}`);
-	}
-
 	#instancesOf(zone: string): unknown[] {
 		return Object.values(this.publication.services).flatMap(service => service.places
 			.filter(place => place.zone === zone)
--- a/tools/platform-faults.ts
+++ b/tools/platform-faults.ts
@@ -3,6 +3,7 @@
 import {platformDocuments} from '../stand-ins/platform-documents.js';
 import {platformNames} from '../stand-ins/platform-names.js';
 import {type PlatformFleet} from './platform-fleet.js';
+import {runFaults} from './run-faults.js';
 
 type FaultName = 'kill' | 'kill-all' | 'freeze' | 'stop' | 'store-fault' | 'lost-answers' | 'compaction' | 'configuration' | 'crash' | 'drain' | 'evacuation' | 'misbehaviour';
 
@@ -32,8 +33,6 @@
 
 /** Brings about seeded random faults in a fleet on the platform's contract; several may overlap. */
 export class PlatformFaults {
-	static readonly names = names;
-
 	readonly counts = new Map<FaultName, number>();
 	/** Daemons that ended without being told to, and planned stops that did not end well. */
 	unexpectedExits = 0;
@@ -41,7 +40,6 @@
 	newWorkAfterDrain = 0;
 	readonly #options: FaultsOptions;
 	readonly #out = new Set<string>();
-	readonly #underWay = new Set<Promise<void>>();
 	#version = 1;
 	/** Moment at which the store's latest fault ended; infinite while it lasts. */
 	#storeFaultEndedMs = Number.NEGATIVE_INFINITY;
@@ -59,18 +57,17 @@
 
 	/** Injects faults for a time and waits until all have ended. */
 	async run(durationMs: number): Promise<void> {
-		const {random} = this.#options;
-		const endMs = performance.now() + durationMs;
-		while (performance.now() < endMs) {
-			await delay(shortestGapMs + random.below(gapRangeMs));
-			const fault = this.#inject(random.sample(names, 1)[0]!);
-			this.#underWay.add(fault);
-			void fault.finally(() => this.#underWay.delete(fault));
-			this.#countExits();
-		}
-
-		await Promise.all(this.#underWay);
-		this.#countExits();
+		await runFaults({
+			random: this.#options.random,
+			names,
+			durationMs,
+			shortestGapMs,
+			gapRangeMs,
+			inject: async name => this.#inject(name),
+			check: () => {
+				this.#countExits();
+			},
+		});
 	}
 
 	async #inject(name: FaultName): Promise<void> {
@@ -82,7 +79,7 @@
 			case 'kill':
 			case 'freeze':
 			case 'stop': {
-				return this.#onHost(async id => this.#disturbHost(name, id, lastMs));
+				return this.#onFree(fleet.hosts, async ({id}) => this.#disturbHost(name, id, lastMs));
 			}
 
 			case 'kill-all': {
@@ -117,15 +114,15 @@
 			}
 
 			case 'crash': {
-				return this.#onInstance(async instance => this.#crash(instance, lastMs));
+				return this.#onFree(fleet.instances, async instance => this.#crash(instance, lastMs));
 			}
 
 			case 'drain': {
-				return this.#onInstance(async instance => this.#drain(instance, lastMs));
+				return this.#onFree(fleet.instances, async instance => this.#drain(instance, lastMs));
 			}
 
 			case 'misbehaviour': {
-				return this.#onInstance(async ({standIn}) => {
+				return this.#onFree(fleet.instances, async ({standIn}) => {
 					standIn.behaviours = [random.sample(misbehaviours, 1)[0]!];
 					await delay(lastMs);
 					standIn.behaviours = ['answer'];
@@ -143,32 +140,21 @@
 		this.#storeFaultEndedMs = performance.now();
 	}
 
-	/** Does something to a host that nothing else is done to. */
-	async #onHost(disturb: (id: string) => Promise<void>): Promise<void> {
-		const {fleet, random} = this.#options;
-		const free = fleet.hosts.filter(({id}) => !this.#out.has(id));
-		if (fleet.hosts.length - free.length < maxOut) {
-			await this.#takingOut([random.sample(free, 1)[0]!.id], disturb);
-		}
-	}
-
-	/** Does something to an instance that nothing else is done to. */
-	async #onInstance(disturb: (instance: Instance) => Promise<void>): Promise<void> {
-		const {fleet, random} = this.#options;
-		const free = fleet.instances.filter(({id}) => !this.#out.has(id));
-		if (fleet.instances.length - free.length < maxOut) {
-			const [instance] = random.sample(free, 1);
-			await this.#takingOut([instance!.id], async () => disturb(instance!));
+	/** Does something to a host or an instance that nothing else is done to, unless enough of them are out. */
+	async #onFree<T extends {readonly id: string}>(all: readonly T[], disturb: (item: T) => Promise<void>): Promise<void> {
+		const free = all.filter(({id}) => !this.#out.has(id));
+		if (all.length - free.length < maxOut) {
+			await this.#takingOut(this.#options.random.sample(free, 1), disturb);
 		}
 	}
 
-	async #takingOut(ids: readonly string[], disturb: (id: string) => Promise<void>): Promise<void> {
-		for (const id of ids) {
+	async #takingOut<T extends {readonly id: string}>(items: readonly T[], disturb: (item: T) => Promise<void>): Promise<void> {
+		for (const {id} of items) {
 			this.#out.add(id);
 		}
 
-		await Promise.all(ids.map(async id => disturb(id)));
-		for (const id of ids) {
+		await Promise.all(items.map(async item => disturb(item)));
+		for (const {id} of items) {
 			this.#out.delete(id);
 		}
 	}
@@ -201,8 +187,8 @@
 	/** Ends every daemon that nothing else is done to, at once. */
 	async #killAll(lastMs: number): Promise<void> {
 		const {fleet} = this.#options;
-		const ids = fleet.hosts.map(({id}) => id).filter(id => !this.#out.has(id));
-		await this.#takingOut(ids, async id => this.#disturbHost('kill', id, lastMs));
+		const free = fleet.hosts.filter(({id}) => !this.#out.has(id));
+		await this.#takingOut(free, async ({id}) => this.#disturbHost('kill', id, lastMs));
 	}
 
 	/** Ends an instance without a word; a new one comes at its address. */
--- a/tools/platform-fleet.ts
+++ b/tools/platform-fleet.ts
@@ -5,6 +5,8 @@
 import {join} from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import {request} from 'undici';
+import {OperatorClient} from '../src/cli/operator-client.js';
+import {type HostStatus} from '../src/contracts/host-status.js';
 import {KvStoreStandIn} from '../stand-ins/kv-store-stand-in.js';
 import {PlatformClientStandIn} from '../stand-ins/platform-client-stand-in.js';
 import {platformDocuments} from '../stand-ins/platform-documents.js';
@@ -13,6 +15,8 @@
 import {platformSettingsFields} from '../stand-ins/platform-settings-fields.js';
 import {renderTemplate} from '../stand-ins/render-template.js';
 import {Child} from './child.js';
+import {platformScenario} from './platform-scenario.js';
+import {until} from './until.js';
 
 type FleetOptions = {
 	/** Folder of the project. */
@@ -28,12 +32,9 @@
 const regions = ['dsm', 'aru', 'mwz'];
 const zones = regions.flatMap(region => [`${region}-a`, `${region}-b`]);
 const regionByZone = Object.fromEntries(zones.map(zone => [zone, regionOf(zone)]));
-const services = ['catalogue', 'ledger'];
 const workMs = 20;
 const instancePort = 8080;
 const store = {host: '127.60.0.1', port: 8384};
-const readyTimeoutMs = 15_000;
-const pollMs = 50;
 
 /** A deployment of the platform on loopback addresses: store and instances in this process, each daemon a process of its own. */
 export class PlatformFleet {
@@ -42,7 +43,7 @@
 		id: `edge-${zone}-1`, region: regionOf(zone), zone, ip: `127.60.${index + 1}.1`,
 	}));
 
-	readonly instances: readonly Instance[] = zones.flatMap((zone, index) => services.map((service, place) => ({
+	readonly instances: readonly Instance[] = zones.flatMap((zone, index) => platformScenario.services.map((service, place) => ({
 		id: `i-${service}-${zone}`, zone, service, address: `127.60.${index + 1}.${place + 10}:${instancePort}`, standIn: new PlatformInstanceStandIn(),
 	})));
 
@@ -143,9 +144,11 @@
 		this.store.write(platformNames.instanceKey(id), platformDocuments.instance(address, {zone, service, born: this.#born}));
 	}
 
-	/** Operators' address of a host. */
-	operators(id: string): string {
-		return platformNames.operatorsAddress(this.hosts.find(host => host.id === id)!.ip);
+	/** State of one host; `undefined` when it does not answer. */
+	async status(id: string): Promise<HostStatus | undefined> {
+		const {ip} = this.hosts.find(host => host.id === id)!;
+		const answer = await new OperatorClient(platformNames.operatorsAddress(ip)).status('host');
+		return answer.success ? answer.data.hosts[0] : undefined;
 	}
 
 	/** Stops a daemon by plan; answers its exit code. */
@@ -177,16 +180,3 @@
 		return undefined;
 	}
 }
-
-async function until(what: string, isMet: () => Promise<boolean>): Promise<void> {
-	const endMs = performance.now() + readyTimeoutMs;
-	while (performance.now() < endMs) {
-		if (await isMet()) {
-			return;
-		}
-
-		await delay(pollMs);
-	}
-
-	throw new Error(`waited ${readyTimeoutMs} ms in vain: ${what}`);
-}
--- a/tools/platform-load.ts
+++ b/tools/platform-load.ts
@@ -5,24 +5,14 @@
 import {SeededRandom} from '../src/decisions/seeded-random.js';
 import {type LatencyTable} from './latency-table.js';
 import {type PlatformFleet} from './platform-fleet.js';
+import {platformScenario} from './platform-scenario.js';
 
 type Client = ReturnType<PlatformFleet['client']>;
 
-/** One kind of request. */
-type Kind = {
-	readonly name: string;
-	/** Prefix of its path; the request's id follows. */
-	readonly path: string;
-	/** Requests with a body may run at most once. */
-	readonly method: 'GET' | 'POST';
-	readonly perSecond: number;
-};
+type Kind = typeof platformScenario.kinds[number];
 
 type LoadOptions = {
 	readonly fleet: PlatformFleet;
-	/** Host name of the requests. */
-	readonly host: string;
-	readonly kinds: readonly Kind[];
 	readonly durationMs: number;
 	readonly seed: number;
 	readonly table: LatencyTable;
@@ -36,15 +26,15 @@
 
 /** Sends an open load from a client in each zone for a time and waits for every answer. */
 export async function runPlatformLoad(options: LoadOptions): Promise<void> {
-	const {fleet, host, seed} = options;
-	await Promise.all(fleet.hosts.map(async ({zone}, index) => sendFrom(fleet.client(zone, host), new SeededRandom(seed + index), options)));
+	const {fleet, seed} = options;
+	await Promise.all(fleet.hosts.map(async ({zone}, index) => sendFrom(fleet.client(zone, platformScenario.host), new SeededRandom(seed + index), options)));
 }
 
 async function sendFrom(client: Client, random: SeededRandom, options: LoadOptions): Promise<void> {
-	const {fleet, kinds, durationMs} = options;
+	const {fleet, durationMs} = options;
 	const endMs = performance.now() + durationMs;
 	const underWay = new Set<Promise<void>>();
-	await Promise.all(kinds.map(async kind => {
+	await Promise.all(platformScenario.kinds.map(async kind => {
 		while (performance.now() < endMs) {
 			await delay(-Math.log(1 - random.next()) * 1000 * fleet.hosts.length / kind.perSecond);
 			const sending = sendOne(client, kind, `k${random.below(objects)}`, options);
--- a/tools/revision-watch.ts
+++ b/tools/revision-watch.ts
@@ -1,4 +1,7 @@
-import {type Fleet} from './fleet.js';
+import {type HostStatus} from '../src/contracts/host-status.js';
+
+/** Hosts whose state can be asked for; `undefined` when one does not answer. */
+type WatchedFleet = {readonly hosts: ReadonlyArray<{readonly id: string}>; readonly status: (id: string) => Promise<HostStatus | undefined>};
 
 const pollMs = 500;
 
@@ -7,10 +10,10 @@
 	reverts = 0;
 	highest = 0;
 	readonly #seen = new Map<string, number>();
-	readonly #fleet: Fleet;
+	readonly #fleet: WatchedFleet;
 	readonly #timer: NodeJS.Timeout;
 
-	constructor(fleet: Fleet) {
+	constructor(fleet: WatchedFleet) {
 		this.#fleet = fleet;
 		this.#timer = setInterval(() => {
 			void this.#poll();
--- a/tools/soak-platform.ts
+++ b/tools/soak-platform.ts
@@ -7,25 +7,17 @@
 import {PlatformFaults} from './platform-faults.js';
 import {PlatformFleet} from './platform-fleet.js';
 import {runPlatformLoad} from './platform-load.js';
+import {platformScenario} from './platform-scenario.js';
 import {platformTruth} from './platform-truth.js';
-import {VersionWatch} from './version-watch.js';
+import {RevisionWatch} from './revision-watch.js';
 
 type SoakOptions = {readonly seed: number; readonly minutes: number; readonly logFolder: string | undefined};
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
-const host = 'shop.example';
-const services = ['catalogue', 'ledger'];
 const msPerMinute = 60_000;
 const settleMs = 3000;
 const shortestTargetMs = 200;
-const kinds = [
-	{
-		name: 'lot-view', path: '/lots/', method: 'GET', perSecond: 60,
-	},
-	{
-		name: 'settle', path: '/settle/', method: 'POST', perSecond: 30,
-	},
-] as const;
+const {services} = platformScenario;
 const {
 	route, configuration, unrepeatable, withTarget,
 } = platformDocuments;
@@ -54,22 +46,23 @@
 			},
 			say,
 		});
-		const watch = new VersionWatch(fleet);
+		const watch = new RevisionWatch(fleet);
 		await Promise.all([
 			runPlatformLoad({
-				fleet, host, kinds, durationMs, seed, table, refused,
+				fleet, durationMs, seed, table, refused,
 			}),
 			faults.run(durationMs),
 		]);
 		await delay(settleMs);
-		await watch.close();
+		watch.close();
+		const states = await Promise.all(fleet.hosts.map(async ({id}) => fleet.status(id)));
 		const rows = table.summaries();
 		const broken = {
 			...platformTruth(fleet, refused),
 			wrongAnswers: rows.reduce((sum, row) => sum + row.wrong, 0),
 			newWorkAfterDrain: faults.newWorkAfterDrain,
 			configReverts: watch.reverts,
-			hostsBehind: await watch.countBehind(faults.version),
+			hostsBehind: states.filter(state => state?.revision !== faults.version).length,
 			unexpectedExits: faults.unexpectedExits,
 		};
 		const isGood = Object.values(broken).every(count => count === 0);
