Logs and metrics tell full reads and pulls of all items from pulls of changes

The hypotheses about late evacuations differ in how a host learned of a change: with all items or with the changes, from whom, and how long it took. Evacuations now name their revision, full reads and pulls of all items have a line each, and replica_pull_seconds tells both kinds of pull apart.

--- a/src/services/replica-service.ts
+++ b/src/services/replica-service.ts
@@ -139,6 +139,7 @@
 	async #pull(address: string): Promise<void> {
 		const {peerClient, revisionTracker, clock, logger, metrics} = this.#options;
 		metrics.count('replica_pulls');
+		const startMs = clock.nowMs();
 		try {
 			const pull = ItemPull.parse(await peerClient.steering(address).items.mutate({haveRevision: this.items.revision}));
 			const nowMs = clock.nowMs();
@@ -148,6 +149,14 @@
 				: this.items.apply([...writes, ...pull.removals.map(([key, revision, retainMs]): StoreChange => ({
 					kind: 'removed', key, revision, retainUntilMs: nowMs + retainMs,
 				}))]);
+			const tookMs = nowMs - startMs;
+			metrics.observe('replica_pull_seconds', {scope: pull.isWhole ? 'all' : 'changes'}, tookMs);
+			if (pull.isWhole) {
+				logger.info('all items pulled from a peer', {
+					address, revision: pull.revision, items: pull.items.length, changes: changes.length, tookMs: Math.round(tookMs),
+				});
+			}
+
 			this.#propagateChanges(changes, address);
 			revisionTracker.adopt(Math.max(pull.revision, this.items.revision));
 		} catch (err) {
@@ -228,15 +237,22 @@
 
 	/** Reads all items. Returns the revision from which to watch, or `undefined` if the store does not respond. */
 	async #readAll(): Promise<number | undefined> {
-		const read = await this.#options.store.list('');
+		const {store, clock, logger} = this.#options;
+		const startMs = clock.nowMs();
+		const read = await store.list('');
 		if (!read.success) {
 			this.#recordStoreFailure(read.error);
 			return undefined;
 		}
 
 		this.#recordStoreResponse();
-		this.#propagateChanges(this.items.applyFullRead(read.data.items, read.data.revision, this.#retainUntilMs()), 'store');
-		return read.data.revision;
+		const {items, revision} = read.data;
+		const changes = this.items.applyFullRead(items, revision, this.#retainUntilMs());
+		logger.info('all items read from the store', {
+			revision, items: items.length, changes: changes.length, tookMs: Math.round(clock.nowMs() - startMs),
+		});
+		this.#propagateChanges(changes, 'store');
+		return revision;
 	}
 
 	#retainUntilMs(): number {
--- a/src/services/steering-service.ts
+++ b/src/services/steering-service.ts
@@ -190,7 +190,9 @@
 		}
 
 		instances.evacuate(new Set(this.#evacuatedZones));
-		logger.info(change.kind === 'written' ? 'zone evacuated' : 'zone taken back', {zone, source});
+		logger.info(change.kind === 'written' ? 'zone evacuated' : 'zone taken back', {
+			zone, revision: change.kind === 'written' ? change.item.revision : change.revision, source,
+		});
 	}
 
 	#applyHost(id: string, change: StoreChange): void {
