A change made between two pages of a full read reaches every host

A host could keep an evacuated zone, an older configuration or a drained instance for good.

Cause: the replica took the highest revision of any item for the revision up to which it has every change. The pages of a full read are read one after the other, so an item of the second page can be newer than a change of a key on the first page, which the read lacks. The reader itself gets that change by its watch. A peer that pulled in between already reported the higher revision, so it never asked for the change again, refused it as older than its last full pull if it came, and even a full read of its own did not bring it back. A page holds about 500 items: the usual sites have some 55, the grown ones 300 and 500.

Change: the replica's revision is the one up to which it has every change: the revision at which a full read began, the one from which a watch continues, the sender's for a pull that began at or below it. Items beyond it are kept, and passed on, but not claimed. The revision is announced also if a read brought no change.

--- a/src/contracts/item-pull.ts
+++ b/src/contracts/item-pull.ts
@@ -4,8 +4,8 @@
 export const ItemPull = z.object({
 	/** Revision up to which the sender has all changes. */
 	revision: z.int().min(0),
-	/** Whether `items` is complete, so that the receiver removes all other keys. */
-	isWhole: z.boolean(),
+	/** Revision after which all changes are contained; 0 if all items are. */
+	sinceRevision: z.int().min(0),
 	items: z.array(z.object({key: z.string(), value: z.string(), revision: z.int()})),
 	/**
 	 * Removed keys, each with the revision of its removal and the time until the removal counts, in milliseconds; above 0 if the
--- a/src/decisions/item-replica.test.ts
+++ b/src/decisions/item-replica.test.ts
@@ -1,13 +1,24 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {type StoreChange} from '../contracts/store-change.js';
+import {ReplicationModel} from '../../test/replication-model.js';
 import {ItemReplica} from './item-replica.js';
 import {StoreOutage} from './store-outage.js';
 
-const written = (key: string, revision: number): StoreChange => ({kind: 'written', item: {key, value: `${key}@${revision}`, revision}});
+const written = (key: string, revision: number): StoreChange & {kind: 'written'} => ({kind: 'written', item: {key, value: `${key}@${revision}`, revision}});
 const removed = (key: string, revision: number): StoreChange => ({
 	kind: 'removed', key, revision, retainUntilMs: 0,
 });
+const revisionOf = (change: StoreChange) => (change.kind === 'written' ? change.item.revision : change.revision);
+const applyAll = (replica: ItemReplica, changes: readonly StoreChange[]) => replica.applyChanges(changes, Math.max(...changes.map(change => revisionOf(change))));
+const keysOf = (replica: ItemReplica) => replica.withPrefix('').map(item => item.key).toSorted();
+
+/** Lets a peer pull the changes that it does not have, as it does when the other host reports a newer revision. */
+function pull(peer: ItemReplica, from: ItemReplica): void {
+	if (from.revision > peer.revision) {
+		peer.applyDelta(from.deltaSince(peer.revision), 0);
+	}
+}
 
 describe('item replica', () => {
 	it('converges to the state of the store for any order and repetition of the changes', () => {
@@ -15,12 +26,12 @@
 		fc.assert(fc.property(history, fc.infiniteStream(fc.nat()), (steps, picks) => {
 			const changes = steps.map(([key, isWrite], index) => (isWrite ? written(key, index + 1) : removed(key, index + 1)));
 			const truth = new ItemReplica();
-			truth.apply(changes);
+			applyAll(truth, changes);
 			const replica = new ItemReplica();
 			// The changes arrive once in order, then repeatedly in any order: each source sends a removal after the write that it removes.
-			replica.apply(changes);
+			applyAll(replica, changes);
 			for (const pick of picks.take(20)) {
-				replica.apply([changes[pick % changes.length]!]);
+				applyAll(replica, [changes[pick % changes.length]!]);
 			}
 
 			expect(replica.withPrefix('').map(item => item.value).toSorted()).toEqual(truth.withPrefix('').map(item => item.value).toSorted());
@@ -34,21 +45,17 @@
 			const changes = steps.map(([key, isWrite], index) => (isWrite ? written(key, index + 1) : removed(key, index + 1)));
 			const peerAt = (revision: number) => {
 				const peer = new ItemReplica();
-				peer.apply(changes.slice(0, revision));
+				peer.applyChanges(changes.slice(0, revision), revision);
 				return peer;
 			};
 
 			// Responses of peers that have applied different parts of the history, to pulls from different revisions.
-			const responses = pulledRevisions.map(([have, revision]) => {
-				const {items, removals} = peerAt(Math.min(revision, changes.length)).changesSince(Math.max(1, Math.min(have, revision)));
-				return [...items.map((item): StoreChange => ({kind: 'written', item})), ...removals];
-			});
+			const responses = pulledRevisions.map(([have, revision]) => peerAt(Math.min(revision, changes.length)).deltaSince(Math.max(1, Math.min(have, revision))));
 			const replica = new ItemReplica();
-			replica.apply(changes.slice(0, 1));
-			const latest = peerAt(changes.length).changesSince(1);
-			const order = [...responses, [...latest.items.map((item): StoreChange => ({kind: 'written', item})), ...latest.removals]];
+			replica.applyChanges(changes.slice(0, 1), 1);
+			const order = [...responses, peerAt(changes.length).deltaSince(1)];
 			for (const pick of picks.take(order.length)) {
-				replica.apply(order.splice(pick % order.length, 1)[0]!);
+				replica.applyDelta(order.splice(pick % order.length, 1)[0]!, 0);
 			}
 
 			const truth = peerAt(changes.length);
@@ -58,41 +65,41 @@
 
 	it('ignores changes that are older than the current revision of a key', () => {
 		const replica = new ItemReplica();
-		replica.apply([written('a', 5)]);
-		expect(replica.apply([written('a', 4), removed('a', 3)])).toEqual([]);
+		applyAll(replica, [written('a', 5)]);
+		expect(applyAll(replica, [written('a', 4), removed('a', 3)])).toEqual([]);
 		expect(replica.get('a')?.revision).toBe(5);
 	});
 
 	it('does not restore a removed key from an older write', () => {
 		const replica = new ItemReplica();
-		replica.apply([written('a', 5), removed('a', 7)]);
-		expect(replica.apply([written('a', 6)])).toEqual([]);
-		expect(replica.apply([written('a', 8)])).toHaveLength(1);
+		applyAll(replica, [written('a', 5), removed('a', 7)]);
+		expect(applyAll(replica, [written('a', 6)])).toEqual([]);
+		expect(applyAll(replica, [written('a', 8)])).toHaveLength(1);
 	});
 
 	it('ignores an older write of a key whose removal was received first', () => {
 		const replica = new ItemReplica();
-		replica.apply([removed('a', 7), written('b', 8)]);
-		expect(replica.apply([written('a', 5)])).toEqual([]);
-		expect(replica.changesSince(6).removals).toMatchObject([{key: 'a', revision: 7}]);
+		applyAll(replica, [removed('a', 7), written('b', 8)]);
+		expect(applyAll(replica, [written('a', 5)])).toEqual([]);
+		expect(replica.deltaSince(6).removals).toMatchObject([{key: 'a', revision: 7}]);
 	});
 
 	it('removes keys that a full read does not contain, unless they are newer than the read', () => {
 		const replica = new ItemReplica();
-		replica.apply([written('a', 1), written('b', 9)]);
+		applyAll(replica, [written('a', 1), written('b', 9)]);
 		replica.applyFullRead([], 5, 0);
 		expect(replica.withPrefix('').map(item => item.key)).toEqual(['b']);
 	});
 
 	it('returns only the changes that a peer has not seen', () => {
 		const replica = new ItemReplica();
-		replica.apply([written('a', 1), written('b', 2)]);
+		applyAll(replica, [written('a', 1), written('b', 2)]);
 		const peer = new ItemReplica();
-		peer.applyFullRead(replica.changesSince(0).items, replica.revision, 0);
-		replica.apply([removed('a', 3), written('c', 4)]);
-		const delta = replica.changesSince(peer.revision);
-		expect(delta).toMatchObject({isWhole: false, items: [{key: 'c'}], removals: [{key: 'a', revision: 3}]});
-		peer.apply([...delta.items.map((item): StoreChange => ({kind: 'written', item})), ...delta.removals]);
+		pull(peer, replica);
+		applyAll(replica, [removed('a', 3), written('c', 4)]);
+		const delta = replica.deltaSince(peer.revision);
+		expect(delta).toMatchObject({sinceRevision: 2, items: [{key: 'c'}], removals: [{key: 'a', revision: 3}]});
+		peer.applyDelta(delta, 0);
 		expect(peer.withPrefix('').map(item => item.key).toSorted()).toEqual(['b', 'c']);
 	});
 
@@ -100,24 +107,76 @@
 		const replica = new ItemReplica();
 		replica.applyFullRead([{key: 'b', value: 'b@8', revision: 8}], 8, 0);
 		const peer = new ItemReplica();
-		peer.apply([written('a', 5)]);
-		const delta = replica.changesSince(peer.revision);
-		expect(delta.isWhole).toBe(true);
-		peer.applyFullRead(delta.items, replica.revision, 0);
+		applyAll(peer, [written('a', 5)]);
+		const delta = replica.deltaSince(peer.revision);
+		expect(delta.sinceRevision).toBe(0);
+		peer.applyDelta(delta, 0);
 		expect(peer.get('a')).toBeUndefined();
 	});
 
 	it('ignores a write older than a full read that does not contain its key', () => {
 		const replica = new ItemReplica();
 		replica.applyFullRead([{key: 'b', value: 'b@8', revision: 8}], 8, 0);
-		expect(replica.apply([written('a', 5)])).toEqual([]);
-		expect(replica.apply([written('a', 9)])).toHaveLength(1);
+		expect(applyAll(replica, [written('a', 5)])).toEqual([]);
+		expect(applyAll(replica, [written('a', 9)])).toHaveLength(1);
+	});
+
+	it('has every change up to its revision, at each of several hosts that watch, read page by page and pull from each other', () => {
+		const operation = fc.oneof(
+			fc.record({kind: fc.constantFrom('write', 'remove'), key: fc.constantFrom('a', 'b', 'c', 'd')}),
+			fc.record({kind: fc.constantFrom('beginRead', 'endRead', 'watch'), host: fc.nat(1)}),
+			fc.record({kind: fc.constant('pull'), host: fc.nat(3), from: fc.nat(3)}),
+			fc.record({kind: fc.constant('receive'), host: fc.nat(3)}),
+		);
+		fc.assert(fc.property(fc.array(operation, {maxLength: 40}), operations => {
+			const model = new ReplicationModel();
+			for (const step of operations) {
+				model.run(step);
+				model.expectCompleteReplicas();
+			}
+
+			model.settle();
+			model.expectEqualReplicas();
+		}), {numRuns: 2000});
+	});
+
+	describe('after a full read whose pages were read at different revisions', () => {
+		// The read began at revision 10. Its first page, with key a, precedes revision 11, and its second page, with key z, follows revision 12.
+		const readPages = (replica: ItemReplica) => {
+			replica.applyFullRead([written('a', 5).item, written('z', 12).item], 10, 0);
+		};
+
+		it('passes on a write that the first page lacks to a peer that pulled before the watch returned it', () => {
+			const [replica, peer] = [new ItemReplica(), new ItemReplica()];
+			readPages(replica);
+			pull(peer, replica);
+			replica.applyChanges([written('a', 11), written('z', 12)], 12);
+			pull(peer, replica);
+			expect(peer.get('a')?.revision).toBe(11);
+		});
+
+		it('passes on a removal that the first page lacks to a peer that pulled before the watch returned it', () => {
+			const [replica, peer] = [new ItemReplica(), new ItemReplica()];
+			readPages(replica);
+			pull(peer, replica);
+			replica.applyChanges([removed('a', 11), written('z', 12)], 12);
+			pull(peer, replica);
+			expect(keysOf(peer)).toEqual(['z']);
+		});
+
+		it('accepts a key that was created between the pages', () => {
+			const [replica, peer] = [new ItemReplica(), new ItemReplica()];
+			readPages(replica);
+			pull(peer, replica);
+			peer.applyFullRead([written('a', 5).item, written('b', 11).item, written('z', 12).item], 12, 0);
+			expect(keysOf(peer)).toEqual(['a', 'b', 'z']);
+		});
 	});
 
 	it('returns all items to a peer that has no revision', () => {
 		const replica = new ItemReplica();
-		replica.apply([written('a', 1)]);
-		expect(replica.changesSince(0)).toMatchObject({isWhole: true, items: [{key: 'a'}]});
+		applyAll(replica, [written('a', 1)]);
+		expect(replica.deltaSince(0)).toMatchObject({sinceRevision: 0, items: [{key: 'a'}]});
 	});
 });
 
--- a/src/services/replica-service.ts
+++ b/src/services/replica-service.ts
@@ -88,12 +88,12 @@
 	/** Returns the changes after a revision, for a peer that has all changes up to it. */
 	changesSince(haveRevision: number): ItemPull {
 		const nowMs = this.#options.clock.nowMs();
-		const {isWhole, items, removals} = this.items.changesSince(haveRevision);
+		const {sinceRevision, revision, items, removals} = this.items.deltaSince(haveRevision);
 		return {
-			revision: this.items.revision,
-			isWhole,
+			revision,
+			sinceRevision,
 			items: [...items],
-			removals: removals.map(({key, revision, retainUntilMs}) => [key, revision, Math.max(0, retainUntilMs - nowMs)]),
+			removals: removals.map(removal => [removal.key, removal.revision, Math.max(0, removal.retainUntilMs - nowMs)]),
 		};
 	}
 
@@ -143,22 +143,23 @@
 		try {
 			const pull = ItemPull.parse(await peerClient.steering(address).items.mutate({haveRevision: this.items.revision}));
 			const nowMs = clock.nowMs();
-			const writes = pull.items.map((item): StoreChange => ({kind: 'written', item}));
-			const changes = pull.isWhole
-				? this.items.applyFullRead(pull.items, pull.revision, nowMs)
-				: this.items.apply([...writes, ...pull.removals.map(([key, revision, retainMs]): StoreChange => ({
+			const changes = this.items.applyDelta({
+				...pull,
+				removals: pull.removals.map(([key, revision, retainMs]) => ({
 					kind: 'removed', key, revision, retainUntilMs: nowMs + retainMs,
-				}))]);
+				})),
+			}, nowMs);
+			const isWhole = pull.sinceRevision === 0;
 			const tookMs = nowMs - startMs;
-			metrics.observe('replica_pull_seconds', {scope: pull.isWhole ? 'all' : 'changes'}, tookMs);
-			if (pull.isWhole) {
+			metrics.observe('replica_pull_seconds', {scope: isWhole ? 'all' : 'changes'}, tookMs);
+			if (isWhole) {
 				logger.info('all items pulled from a peer', {
 					address, revision: pull.revision, items: pull.items.length, changes: changes.length, tookMs: Math.round(tookMs),
 				});
 			}
 
 			this.#propagateChanges(changes, address);
-			revisionTracker.adopt(Math.max(pull.revision, this.items.revision));
+			revisionTracker.adopt(this.items.revision);
 		} catch (err) {
 			logger.debug('pulling items from a peer failed', {address, err: String(err)});
 			this.#runEffects(revisionTracker.recordPullFailure(address, clock.nowMs()));
@@ -167,18 +168,16 @@
 
 	#propagateChanges(changes: readonly StoreChange[], source: string): void {
 		const {revisionTracker, metrics} = this.#options;
-		if (changes.length === 0) {
-			return;
-		}
-
-		metrics.count('replica_changes', {source: source === 'store' ? 'store' : 'peer'}, changes.length);
-		for (const listener of this.#listeners) {
-			listener(changes, source);
+		if (changes.length > 0) {
+			metrics.count('replica_changes', {source: source === 'store' ? 'store' : 'peer'}, changes.length);
+			for (const listener of this.#listeners) {
+				listener(changes, source);
+			}
 		}
 
-		revisionTracker.adopt(this.items.revision);
-		if (this.#members !== undefined) {
-			this.#members.run(this.#members.membership.setRevision(this.items.revision));
+		if (this.items.revision > revisionTracker.revision) {
+			revisionTracker.adopt(this.items.revision);
+			this.#members?.run(this.#members.membership.setRevision(this.items.revision));
 		}
 	}
 
@@ -231,7 +230,7 @@
 		this.#recordStoreResponse();
 		const retainUntilMs = this.#retainUntilMs();
 		const changes = read.data.changes.map((change): StoreChange => (change.kind === 'removed' ? {...change, retainUntilMs} : change));
-		this.#propagateChanges(this.items.apply(changes), 'store');
+		this.#propagateChanges(this.items.applyChanges(changes, read.data.revision), 'store');
 		return read.data.revision;
 	}
 
