An earlier refusal that an instance repeats is not taken for a later request's own

What callers saw (a report of other operators, not seen here): 503 "not run" for a request that an instance was running.

Cause: a refusal without a request id was accepted on any connection. An instance that writes an earlier refusal once more on a kept connection so answered the next request, which then was refused to the client, or sent to a second instance although it may not be repeated.

Change: a refusal without the id counts only on the first exchange of a connection, where no earlier one can exist; otherwise the answer is broken, which promises nothing. Instances echo the id, so that real refusals stay as they are.

--- a/src/adapters/instance-client.ts
+++ b/src/adapters/instance-client.ts
@@ -81,7 +81,7 @@
 				responseHeaders: 'raw',
 			});
 			const head = this.#readHead(res.statusCode, res.headers as unknown as string[]);
-			const fault = findFault(call, head);
+			const fault = findFault(call, head, conn.lastReceivedMs === undefined);
 			if (fault !== undefined) {
 				res.body.on('error', ignoreError).destroy();
 				pool.discard(conn);
@@ -107,7 +107,7 @@
 			}
 
 			this.#releaseOrDiscard(pool, conn, head);
-			return head.info.isNotRun || head.info.isMisdirected
+			return isRefusal(head)
 				? {kind: 'not_run', ...head}
 				: {
 					kind: 'whole', ...head, framing, body: start.bytes,
@@ -180,15 +180,22 @@
 	return rawHeader(headers, 'content-length') === undefined ? 'connection' : 'length';
 }
 
-/** Returns why a response must not be forwarded, or `undefined` for a valid one. */
-function findFault(call: InstanceCall, head: Head): string | undefined {
+function isRefusal({info}: Head): boolean {
+	return info.isNotRun || info.isMisdirected;
+}
+
+/**
+ * Returns why a response must not be forwarded, or `undefined` for a valid one. A refusal without an id is valid only on a new
+ * connection: on a reused one it may be an earlier refusal that the instance wrote once more.
+ */
+function findFault(call: InstanceCall, head: Head, isNewConnection: boolean): string | undefined {
 	const {info, status, headers} = head;
-	const isRefusal = info.isNotRun || info.isMisdirected;
-	if (info.requestId !== call.requestId && !(isRefusal && info.requestId === undefined)) {
+	const isAnonymousRefusal = isRefusal(head) && info.requestId === undefined;
+	if (info.requestId !== call.requestId && !(isAnonymousRefusal && isNewConnection)) {
 		return 'the response does not contain the id of this request';
 	}
 
-	if (isRefusal) {
+	if (isRefusal(head)) {
 		return undefined;
 	}
 
