A refusal counts once its head has come, and its body is bounded

What callers saw: a body without end as the answer to a request that an instance had refused, streamed to them as a 503.

Cause: refusals were read like answers: what is longer than the buffer was passed on as it came, without a bound, and not_run was told only at the end of the body.

Evidence: the test fails before: a refusal with the right id, no length and bytes until the caller closes ends "partial".

Change: the head of a refusal decides; its body is read up to 16 KB beside, for the connection's reuse, and the connection is closed where there is more.

--- a/src/adapters/instance-client.ts
+++ b/src/adapters/instance-client.ts
@@ -20,14 +20,15 @@
 };
 
 type Connection = NonNullable<ReturnType<ConnectionPool['acquire']>>;
-type StreamedResponse = {
+type Head = {readonly status: number; readonly headers: readonly string[]; readonly info: ReturnType<HttpDialect['readResponse']>};
+type OpenResponse = {
 	readonly source: AsyncIterator<Uint8Array, unknown>;
 	readonly pool: ConnectionPool;
 	readonly conn: Connection;
 	readonly scope: AbortScope;
-	readonly framing: ReturnType<typeof framingOf>;
 };
-type Head = {readonly status: number; readonly headers: readonly string[]; readonly info: ReturnType<HttpDialect['readResponse']>};
+type StreamedResponse = OpenResponse & {readonly framing: ReturnType<typeof framingOf>};
+type RefusedResponse = OpenResponse & {readonly head: Head};
 
 /** Idle time after which a connection is not reused; this also removes connections that failed without being closed. */
 const idleLimitMs = 4000;
@@ -35,6 +36,8 @@
 const connectTimeoutMs = 300;
 /** One week; the timeout of each exchange is set by its caller. */
 const exchangeLimitMs = 604_800_000;
+/** Size of a refusal's body up to which its connection is reused. */
+const maxRefusalBytes = 16_384;
 /** Request headers that are handled separately on each connection. */
 const perConnectionNames = ['expect'];
 
@@ -70,7 +73,7 @@
 
 		const startMs = this.#options.clock.nowMs();
 		const scope = new AbortScope(call.remainingMs, call.disconnect);
-		let isStreaming = false;
+		let isScopeHandedOver = false;
 		try {
 			const res = await conn.client.request({
 				method: call.method,
@@ -89,10 +92,18 @@
 			}
 
 			const source = res.body[Symbol.asyncIterator]() as AsyncIterator<Uint8Array, unknown>;
+			if (isRefusal(head)) {
+				isScopeHandedOver = true;
+				void this.#drainRefusal({
+					source, pool, conn, scope, head,
+				});
+				return {kind: 'not_run', ...head};
+			}
+
 			const start = await readStart(source, this.#options.maxBufferedResponseBytes);
 			const framing = framingOf(head.headers);
 			if (!start.isEnded) {
-				isStreaming = true;
+				isScopeHandedOver = true;
 				const rest = this.#readRest({
 					source, pool, conn, scope, framing,
 				});
@@ -107,11 +118,9 @@
 			}
 
 			this.#releaseOrDiscard(pool, conn, head);
-			return isRefusal(head)
-				? {kind: 'not_run', ...head}
-				: {
-					kind: 'whole', ...head, framing, body: start.bytes,
-				};
+			return {
+				kind: 'whole', ...head, framing, body: start.bytes,
+			};
 		} catch (err) {
 			pool.discard(conn);
 			if (scope.isOverdue) {
@@ -121,7 +130,7 @@
 
 			return scope.isCancelled ? {kind: 'cancelled'} : describeFailure(err);
 		} finally {
-			if (!isStreaming) {
+			if (!isScopeHandedOver) {
 				scope.close();
 			}
 		}
@@ -155,6 +164,23 @@
 		}
 	}
 
+	/** Reads the body of a refusal, which its head has already stated, so that the connection can be reused. */
+	async #drainRefusal({source, pool, conn, scope, head}: RefusedResponse): Promise<void> {
+		try {
+			const {isEnded} = await readStart(source, maxRefusalBytes);
+			if (isEnded) {
+				this.#releaseOrDiscard(pool, conn, head);
+			} else {
+				pool.discard(conn);
+			}
+		} catch {
+			// The rest of a refusal tells nothing; only its connection is lost.
+			pool.discard(conn);
+		} finally {
+			scope.close();
+		}
+	}
+
 	/** Yields the rest of a streamed response; its connection is not reused. */
 	async * #readRest({source, pool, conn, scope, framing}: StreamedResponse): AsyncIterable<Uint8Array> {
 		try {
