Informational responses without end close the connection

What callers saw: a request that waits for its whole time at an instance that sends nothing but heads of 1xx responses, at the cost of the host's processor time (3.7 MB in 1.5 s on loopback).

Cause: informational responses were skipped without a count.

Evidence: the test fails before: overdue after 30 s instead of broken.

Change: after 32 of them the connection is closed and the answer is broken.

--- a/src/adapters/instance-client.ts
+++ b/src/adapters/instance-client.ts
@@ -36,6 +36,8 @@
 const connectTimeoutMs = 300;
 /** One week; the timeout of each exchange is set by its caller. */
 const exchangeLimitMs = 604_800_000;
+/** Number of informational responses (1xx) to one request after which the connection is closed. */
+const maxInformationalResponses = 32;
 /** Size of a refusal's body up to which its connection is reused. */
 const maxRefusalBytes = 16_384;
 /** Request headers that are handled separately on each connection. */
@@ -74,6 +76,7 @@
 		const startMs = this.#options.clock.nowMs();
 		const scope = new AbortScope(call.remainingMs, call.disconnect);
 		let isScopeHandedOver = false;
+		let informationalCount = 0;
 		try {
 			const res = await conn.client.request({
 				method: call.method,
@@ -82,6 +85,12 @@
 				body: call.body as Uint8Array | undefined,
 				signal: scope.signal,
 				responseHeaders: 'raw',
+				onInfo() {
+					informationalCount++;
+					if (informationalCount > maxInformationalResponses) {
+						pool.discard(conn);
+					}
+				},
 			});
 			const head = this.#readHead(res.statusCode, res.headers as unknown as string[]);
 			const fault = findFault(call, head, conn.lastReceivedMs === undefined);
@@ -128,7 +137,13 @@
 				return {kind: 'overdue'};
 			}
 
-			return scope.isCancelled ? {kind: 'cancelled'} : describeFailure(err);
+			if (scope.isCancelled) {
+				return {kind: 'cancelled'};
+			}
+
+			return informationalCount > maxInformationalResponses
+				? {kind: 'broken', detail: `more than ${maxInformationalResponses} informational responses`}
+				: describeFailure(err);
 		} finally {
 			if (!isScopeHandedOver) {
 				scope.close();
