Peers get the changes after a full read of the store, not all items

Cause, one of two: a full read lists no removals, so that a host which had read all items answered every older peer with all of them. After the store drops its history the watchers of a region read everything, and then all hosts of the region pull some 500 items from them at once, mostly hosts of 0.189 of a core and 10 Mbit/s. Pulls that take longer than 0.6 s are sent once more.

The test "sends only the changes to a peer that was complete up to the revision before the read" fails before.

Change: a host knows what it had before the read, so that it can tell a peer that was complete up to then what has changed; only between both revisions are removals unknown. That range is a gap, which the answer names: the peer removes what it last saw written in it and the answer does not list. All items go only to peers without a revision or inside a gap's whole past. A removal keeps the time for which it is to be held, which a pull of all items lost.

--- a/src/contracts/item-pull.ts
+++ b/src/contracts/item-pull.ts
@@ -12,6 +12,8 @@
 	 * key's lease may have expired only because the store was unavailable.
 	 */
 	removals: z.array(z.tuple([z.string(), z.int(), z.number().min(0)])),
+	/** Ranges of revisions, without their start and with their end: the receiver removes keys last written in them that are not in `items`. */
+	gaps: z.array(z.tuple([z.int().min(0), z.int().min(0)])),
 });
 
 /** Response to a peer that has an older revision of the store's items. */
--- a/src/decisions/item-replica.test.ts
+++ b/src/decisions/item-replica.test.ts
@@ -12,6 +12,7 @@
 const revisionOf = (change: StoreChange) => (change.kind === 'written' ? change.item.revision : change.revision);
 const applyAll = (replica: ItemReplica, changes: readonly StoreChange[]) => replica.applyChanges(changes, Math.max(...changes.map(change => revisionOf(change))));
 const keysOf = (replica: ItemReplica) => replica.withPrefix('').map(item => item.key).toSorted();
+const valuesOf = (replica: ItemReplica) => replica.withPrefix('').map(item => item.value).toSorted();
 
 /** Lets a peer pull the changes that it does not have, as it does when the other host reports a newer revision. */
 function pull(peer: ItemReplica, from: ItemReplica): void {
@@ -173,6 +174,30 @@
 		});
 	});
 
+	describe('after a full read that replaces a lost watch', () => {
+		it('sends only the changes to a peer that was complete up to the revision before the read', () => {
+			const [replica, peer] = [new ItemReplica(), new ItemReplica()];
+			replica.applyFullRead([written('a', 5).item, written('b', 6).item, written('c', 7).item], 10, 0);
+			pull(peer, replica);
+			replica.applyFullRead([written('b', 6).item, written('c', 14).item], 15, 900);
+			expect(replica.deltaSince(peer.revision)).toMatchObject({
+				sinceRevision: 10, items: [{key: 'c', revision: 14}], removals: [{key: 'a', revision: 15, retainUntilMs: 900}],
+			});
+			pull(peer, replica);
+			expect(valuesOf(peer)).toEqual(['b@6', 'c@14']);
+		});
+
+		it('removes a key at a peer that received its write from elsewhere, but not its removal', () => {
+			const [replica, peer] = [new ItemReplica(), new ItemReplica()];
+			replica.applyFullRead([written('a', 5).item], 10, 0);
+			pull(peer, replica);
+			peer.applyChanges([written('k', 12)], 12);
+			replica.applyFullRead([written('a', 5).item], 15, 0);
+			pull(peer, replica);
+			expect(keysOf(peer)).toEqual(['a']);
+		});
+	});
+
 	it('returns all items to a peer that has no revision', () => {
 		const replica = new ItemReplica();
 		applyAll(replica, [written('a', 1)]);
--- a/src/decisions/item-replica.ts
+++ b/src/decisions/item-replica.ts
@@ -3,18 +3,24 @@
 
 type Removal = StoreChange & {readonly kind: 'removed'};
 
+/** Range of revisions, without its start and with its end, in which keys may have been removed without a known removal. */
+type Gap = {readonly afterRevision: number; readonly upToRevision: number};
+
 /** Changes for a replica that is complete up to a revision of at least `sinceRevision`; afterwards it is complete up to `revision`. */
 type ReplicaDelta = {
 	readonly sinceRevision: number;
 	readonly revision: number;
 	/** All present items that were written after `sinceRevision`. */
 	readonly items: readonly StoreItem[];
-	/** Empty if `sinceRevision` is 0: then all keys that are not in `items` have been removed. */
 	readonly removals: readonly Removal[];
+	/** Ranges with unknown removals: an item that was last written in one of them and is not in `items` has been removed. */
+	readonly gaps: readonly Gap[];
 };
 
 /** Number of removals remembered for peers that have an older revision. */
 const maxRemovals = 4096;
+/** Number of separate gaps; further ones are joined with their neighbors. */
+const maxGaps = 8;
 
 /**
  * Local copy of the store's items. The revision of a key only increases, in whatever order changes from a watch,
@@ -23,9 +29,9 @@
 export class ItemReplica {
 	readonly #items = new Map<string, StoreItem>();
 	readonly #removals = new Map<string, {readonly revision: number; readonly retainUntilMs: number}>();
+	/** Disjoint, in ascending order, and not above the revision. */
+	#gaps: readonly Gap[] = [];
 	#revision = 0;
-	/** Revision up to which removals may be unknown or have been discarded. */
-	#compactedRevision = 0;
 
 	/** Revision up to which the replica has every change; it may have some later ones. 0 before the first. */
 	get revision(): number {
@@ -54,20 +60,31 @@
 	 * the same meaning as in `StoreChange`. Returns the changes made.
 	 */
 	applyFullRead(items: readonly StoreItem[], revision: number, retainUntilMs: number): StoreChange[] {
-		const applied = this.#apply([...toWrites(items), ...this.#removalsOfUnlisted(items, revision, retainUntilMs)]);
-		this.#compact(revision);
+		const listed = new Set(items.map(item => item.key));
+		const removed = [...this.#items.values()]
+			.filter(item => !listed.has(item.key) && item.revision <= revision)
+			.map((item): StoreChange => ({
+				kind: 'removed', key: item.key, revision, retainUntilMs,
+			}));
+		const applied = this.#apply([...toWrites(items), ...removed]);
+		this.#advanceWithGaps(revision, [{afterRevision: 0, upToRevision: revision}]);
 		return applied;
 	}
 
-	/** Applies the changes that a peer returned. `retainUntilMs` applies to removals that the peer does not list. Returns the changes made. */
-	applyDelta({sinceRevision, revision, items, removals}: ReplicaDelta, retainUntilMs: number): StoreChange[] {
-		const isWhole = sinceRevision === 0;
-		const unlisted = isWhole ? this.#removalsOfUnlisted(items, revision, retainUntilMs) : [];
-		const applied = this.#apply([...toWrites(items), ...removals, ...unlisted]);
-		if (isWhole) {
-			this.#compact(revision);
-		} else if (sinceRevision <= this.#revision) {
-			this.#revision = Math.max(this.#revision, revision);
+	/** Applies the changes that a peer returned. `retainUntilMs` applies to removals that the peer does not know itself. Returns the changes made. */
+	applyDelta({sinceRevision, revision, items, removals, gaps}: ReplicaDelta, retainUntilMs: number): StoreChange[] {
+		const listed = new Set([...items, ...removals].map(change => change.key));
+		const dropped = [...this.#items.values()].filter(item => !listed.has(item.key)).flatMap((item): StoreChange[] => {
+			const gap = gaps.find(({afterRevision, upToRevision}) => item.revision > afterRevision && item.revision <= upToRevision);
+			return gap === undefined
+				? []
+				: [{
+					kind: 'removed', key: item.key, revision: gap.upToRevision, retainUntilMs,
+				}];
+		});
+		const applied = this.#apply([...toWrites(items), ...removals, ...dropped]);
+		if (sinceRevision <= this.#revision) {
+			this.#advanceWithGaps(revision, gaps);
 		}
 
 		return applied;
@@ -75,14 +92,19 @@
 
 	/** Returns the changes for a peer that is complete up to `revision`; all items if removals since then are unknown here. */
 	deltaSince(revision: number): ReplicaDelta {
-		const sinceRevision = revision < this.#compactedRevision ? 0 : revision;
+		const gap = this.#gaps.find(({afterRevision, upToRevision}) => revision > afterRevision && revision < upToRevision);
+		const sinceRevision = gap?.afterRevision ?? revision;
+		const isWhole = sinceRevision === 0;
 		return {
 			sinceRevision,
 			revision: this.#revision,
 			items: [...this.#items.values()].filter(item => item.revision > sinceRevision),
-			removals: sinceRevision === 0
+			removals: isWhole
 				? []
 				: [...this.#removals].filter(([, removal]) => removal.revision > sinceRevision).map(([key, removal]) => ({kind: 'removed', key, ...removal})),
+			gaps: isWhole
+				? [{afterRevision: 0, upToRevision: this.#revision}]
+				: this.#gaps.filter(({upToRevision}) => upToRevision > sinceRevision),
 		};
 	}
 
@@ -111,7 +133,7 @@
 		if (this.#removals.size > maxRemovals) {
 			const [oldest] = this.#removals;
 			this.#removals.delete(oldest![0]);
-			this.#compactedRevision = Math.max(this.#compactedRevision, Math.min(oldest![1].revision, this.#revision));
+			this.#addGap({afterRevision: 0, upToRevision: Math.min(oldest![1].revision, this.#revision)});
 		}
 
 		return wasPresent;
@@ -122,21 +144,40 @@
 		return this.#items.get(key)?.revision ?? this.#removals.get(key)?.revision ?? this.#revision;
 	}
 
-	#removalsOfUnlisted(items: readonly StoreItem[], revision: number, retainUntilMs: number): StoreChange[] {
-		const listed = new Set(items.map(item => item.key));
-		return [...this.#items.values()]
-			.filter(item => !listed.has(item.key) && item.revision <= revision)
-			.map((item): StoreChange => ({
-				kind: 'removed', key: item.key, revision, retainUntilMs,
-			}));
+	/** Raises the revision; removals up to the previous revision are known, so that only the rest of each gap is added. */
+	#advanceWithGaps(revision: number, gaps: readonly Gap[]): void {
+		const previous = this.#revision;
+		this.#revision = Math.max(previous, revision);
+		for (const {afterRevision, upToRevision} of gaps) {
+			this.#addGap({afterRevision: Math.max(afterRevision, previous), upToRevision});
+		}
 	}
 
-	#compact(revision: number): void {
-		this.#revision = Math.max(this.#revision, revision);
-		this.#compactedRevision = Math.max(this.#compactedRevision, revision);
+	#addGap(gap: Gap): void {
+		if (gap.upToRevision <= gap.afterRevision) {
+			return;
+		}
+
+		const separate = this.#gaps.filter(other => other.upToRevision <= gap.afterRevision || other.afterRevision >= gap.upToRevision);
+		const joined = [gap, ...this.#gaps.filter(other => !separate.includes(other))];
+		this.#gaps = limitGaps([...separate, hull(joined)].toSorted((a, b) => a.afterRevision - b.afterRevision));
 	}
 }
 
 function toWrites(items: readonly StoreItem[]): StoreChange[] {
 	return items.map((item): StoreChange => ({kind: 'written', item}));
 }
+
+/** Returns the smallest range that contains all gaps. */
+function hull(gaps: readonly Gap[]): Gap {
+	return {
+		afterRevision: Math.min(...gaps.map(gap => gap.afterRevision)),
+		upToRevision: Math.max(...gaps.map(gap => gap.upToRevision)),
+	};
+}
+
+/** Joins the oldest gaps into one if there are too many. */
+function limitGaps(gaps: readonly Gap[]): readonly Gap[] {
+	const excess = gaps.length - maxGaps;
+	return excess > 0 ? [hull(gaps.slice(0, excess + 1)), ...gaps.slice(excess + 1)] : gaps;
+}
--- a/src/services/replica-service.ts
+++ b/src/services/replica-service.ts
@@ -88,12 +88,13 @@
 	/** Returns the changes after a revision, for a peer that has all changes up to it. */
 	changesSince(haveRevision: number): ItemPull {
 		const nowMs = this.#options.clock.nowMs();
-		const {sinceRevision, revision, items, removals} = this.items.deltaSince(haveRevision);
+		const {sinceRevision, revision, items, removals, gaps} = this.items.deltaSince(haveRevision);
 		return {
 			revision,
 			sinceRevision,
 			items: [...items],
 			removals: removals.map(removal => [removal.key, removal.revision, Math.max(0, removal.retainUntilMs - nowMs)]),
+			gaps: gaps.map(({afterRevision, upToRevision}) => [afterRevision, upToRevision]),
 		};
 	}
 
@@ -148,6 +149,7 @@
 				removals: pull.removals.map(([key, revision, retainMs]) => ({
 					kind: 'removed', key, revision, retainUntilMs: nowMs + retainMs,
 				})),
+				gaps: pull.gaps.map(([afterRevision, upToRevision]) => ({afterRevision, upToRevision})),
 			}, nowMs);
 			const isWhole = pull.sinceRevision === 0;
 			const tookMs = nowMs - startMs;
