--- a/src/adapters/instance-client.ts
+++ b/src/adapters/instance-client.ts
@@ -20,14 +20,15 @@
 };
 
 type Connection = NonNullable<ReturnType<ConnectionPool['acquire']>>;
-type StreamedResponse = {
+type Head = {readonly status: number; readonly headers: readonly string[]; readonly info: ReturnType<HttpDialect['readResponse']>};
+type OpenResponse = {
 	readonly source: AsyncIterator<Uint8Array, unknown>;
 	readonly pool: ConnectionPool;
 	readonly conn: Connection;
 	readonly scope: AbortScope;
-	readonly framing: ReturnType<typeof framingOf>;
 };
-type Head = {readonly status: number; readonly headers: readonly string[]; readonly info: ReturnType<HttpDialect['readResponse']>};
+type StreamedResponse = OpenResponse & {readonly framing: ReturnType<typeof framingOf>};
+type RefusedResponse = OpenResponse & {readonly head: Head};
 
 /** Idle time after which a connection is not reused; this also removes connections that failed without being closed. */
 const idleLimitMs = 4000;
@@ -35,6 +36,10 @@
 const connectTimeoutMs = 300;
 /** One week; the timeout of each exchange is set by its caller. */
 const exchangeLimitMs = 604_800_000;
+/** Number of informational responses (1xx) to one request after which the connection is closed. */
+const maxInformationalResponses = 32;
+/** Size of a refusal's body up to which its connection is reused. */
+const maxRefusalBytes = 16_384;
 /** Request headers that are handled separately on each connection. */
 const perConnectionNames = ['expect'];
 
@@ -70,7 +75,8 @@
 
 		const startMs = this.#options.clock.nowMs();
 		const scope = new AbortScope(call.remainingMs, call.disconnect);
-		let isStreaming = false;
+		let isScopeHandedOver = false;
+		let informationalCount = 0;
 		try {
 			const res = await conn.client.request({
 				method: call.method,
@@ -79,9 +85,15 @@
 				body: call.body as Uint8Array | undefined,
 				signal: scope.signal,
 				responseHeaders: 'raw',
+				onInfo() {
+					informationalCount++;
+					if (informationalCount > maxInformationalResponses) {
+						pool.discard(conn);
+					}
+				},
 			});
 			const head = this.#readHead(res.statusCode, res.headers as unknown as string[]);
-			const fault = findFault(call, head);
+			const fault = findFault(call, head, conn.lastReceivedMs === undefined);
 			if (fault !== undefined) {
 				res.body.on('error', ignoreError).destroy();
 				pool.discard(conn);
@@ -89,10 +101,18 @@
 			}
 
 			const source = res.body[Symbol.asyncIterator]() as AsyncIterator<Uint8Array, unknown>;
+			if (isRefusal(head)) {
+				isScopeHandedOver = true;
+				void this.#drainRefusal({
+					source, pool, conn, scope, head,
+				});
+				return {kind: 'not_run', ...head};
+			}
+
 			const start = await readStart(source, this.#options.maxBufferedResponseBytes);
 			const framing = framingOf(head.headers);
 			if (!start.isEnded) {
-				isStreaming = true;
+				isScopeHandedOver = true;
 				const rest = this.#readRest({
 					source, pool, conn, scope, framing,
 				});
@@ -107,11 +127,9 @@
 			}
 
 			this.#releaseOrDiscard(pool, conn, head);
-			return head.info.isNotRun || head.info.isMisdirected
-				? {kind: 'not_run', ...head}
-				: {
-					kind: 'whole', ...head, framing, body: start.bytes,
-				};
+			return {
+				kind: 'whole', ...head, framing, body: start.bytes,
+			};
 		} catch (err) {
 			pool.discard(conn);
 			if (scope.isOverdue) {
@@ -119,9 +137,15 @@
 				return {kind: 'overdue'};
 			}
 
-			return scope.isCancelled ? {kind: 'cancelled'} : describeFailure(err);
+			if (scope.isCancelled) {
+				return {kind: 'cancelled'};
+			}
+
+			return informationalCount > maxInformationalResponses
+				? {kind: 'broken', detail: `more than ${maxInformationalResponses} informational responses`}
+				: describeFailure(err);
 		} finally {
-			if (!isStreaming) {
+			if (!isScopeHandedOver) {
 				scope.close();
 			}
 		}
@@ -155,6 +179,23 @@
 		}
 	}
 
+	/** Reads the body of a refusal, which its head has already stated, so that the connection can be reused. */
+	async #drainRefusal({source, pool, conn, scope, head}: RefusedResponse): Promise<void> {
+		try {
+			const {isEnded} = await readStart(source, maxRefusalBytes);
+			if (isEnded) {
+				this.#releaseOrDiscard(pool, conn, head);
+			} else {
+				pool.discard(conn);
+			}
+		} catch {
+			// The rest of a refusal tells nothing; only its connection is lost.
+			pool.discard(conn);
+		} finally {
+			scope.close();
+		}
+	}
+
 	/** Yields the rest of a streamed response; its connection is not reused. */
 	async * #readRest({source, pool, conn, scope, framing}: StreamedResponse): AsyncIterable<Uint8Array> {
 		try {
@@ -180,15 +221,22 @@
 	return rawHeader(headers, 'content-length') === undefined ? 'connection' : 'length';
 }
 
-/** Returns why a response must not be forwarded, or `undefined` for a valid one. */
-function findFault(call: InstanceCall, head: Head): string | undefined {
+function isRefusal({info}: Head): boolean {
+	return info.isNotRun || info.isMisdirected;
+}
+
+/**
+ * Returns why a response must not be forwarded, or `undefined` for a valid one. A refusal without an id is valid only on a new
+ * connection: on a reused one it may be an earlier refusal that the instance wrote once more.
+ */
+function findFault(call: InstanceCall, head: Head, isNewConnection: boolean): string | undefined {
 	const {info, status, headers} = head;
-	const isRefusal = info.isNotRun || info.isMisdirected;
-	if (info.requestId !== call.requestId && !(isRefusal && info.requestId === undefined)) {
+	const isAnonymousRefusal = isRefusal(head) && info.requestId === undefined;
+	if (info.requestId !== call.requestId && !(isAnonymousRefusal && isNewConnection)) {
 		return 'the response does not contain the id of this request';
 	}
 
-	if (isRefusal) {
+	if (isRefusal(head)) {
 		return undefined;
 	}
 
