--- a/src/kernel/registry.ts
+++ b/src/kernel/registry.ts
@@ -13,6 +13,7 @@
 import {type HomeService} from '../services/home-service.js';
 import {type IngressService} from '../services/ingress-service.js';
 import {type Logger} from '../services/logger.js';
+import {type LoopMonitor} from '../services/loop-monitor.js';
 import {type LookupService} from '../services/lookup-service.js';
 import {type MembersService} from '../services/members-service.js';
 import {type Metrics} from '../services/metrics.js';
@@ -36,6 +37,7 @@
 	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
+	readonly loopMonitor: LoopMonitor;
 	readonly tracer: Tracer;
 	readonly store: Store;
 	readonly hostList: HostList;
--- a/src/services/quarantine-service.ts
+++ b/src/services/quarantine-service.ts
@@ -103,6 +103,7 @@
 
 	async #sendTo(peers: readonly Member[], report: CrashReport): Promise<void> {
 		const calls = peers.map(async peer => {
+			this.#options.metrics.count('crash_report_calls');
 			try {
 				await this.#options.peerClient.control(peer.peers).strike.mutate(report);
 			} catch {
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -23,6 +23,7 @@
 import {serveHttp} from './services/http-service.js';
 import {IngressService} from './services/ingress-service.js';
 import {Logger} from './services/logger.js';
+import {LoopMonitor} from './services/loop-monitor.js';
 import {MembersService} from './services/members-service.js';
 import {Metrics} from './services/metrics.js';
 import {operatorRoutes} from './services/operator-routes.js';
@@ -95,6 +96,13 @@
 		.add({name: 'clock', requires: [], start: () => monotonicClock})
 		.add({name: 'logger', requires: [], start: () => new Logger(settings.log.level, {host: self.id, boot: self.boot})})
 		.add({name: 'metrics', requires: [], start: () => new Metrics()})
+		.add({
+			name: 'loopMonitor', requires: ['clock', 'logger', 'metrics'], start({get, lifecycle}) {
+				const monitor = new LoopMonitor({clock: get('clock'), logger: get('logger'), metrics: get('metrics')});
+				monitor.start(lifecycle);
+				return monitor;
+			},
+		})
 		.add({
 			name: 'prefixStore', requires: ['clock', 'metrics'], start({get, lifecycle}) {
 				const metrics = get('metrics');
