Crash reports go in batches through one collector a region

Cause: amplification. Each request that was lost with its instance was reported in one call to every host of the region and to one host of each other region, always the first in order, which called all hosts of its own. In the second in which 62 instances of a zone restarted, 200 requests were lost in the fleet (the lines of the logs of all hosts): some 22,000 calls, and as many when such a request was answered later. The host that relays is the region's first delegate, which also watches the store and sends its changes.

Evidence: one report to 36 hosts takes 24 ms of processor time at its sender and 0.7 ms at each receiver (measured on this machine, 100 reports over loopback); most hosts have 0.189 of a core.

Change: hosts collect reports for 0.5 s and send them to the region's collector, which sends them to the region's hosts and to one host of each other region. A call is confirmed when its reports were passed on; otherwise the next in order is tried, then the host sends itself. What is answered before its report left is not reported. Single reports of hosts of the release before are still understood.

--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -183,7 +183,7 @@
 		.add({
 			name: 'quarantine', requires: ['clock', 'logger', 'metrics', 'members', 'peerClient'],
 			start: ({get}) => new QuarantineService({
-				clock: get('clock'), logger: get('logger'), metrics: get('metrics'), members: get('members'), peerClient: get('peerClient'),
+				clock: get('clock'), logger: get('logger'), metrics: get('metrics'), members: get('members'), peerClient: get('peerClient'), collectMs: 0,
 			}),
 		})
 		.add({
--- a/src/services/member-procedures.ts
+++ b/src/services/member-procedures.ts
@@ -1,18 +1,15 @@
 import {initTRPC} from '@trpc/server';
 import {z} from 'zod';
+import {CrashReport} from '../contracts/crash-report.js';
+import {CrashReportAudience} from '../contracts/crash-report-audience.js';
 import {MemberUpdate} from '../contracts/member-update.js';
 import {type MembersService} from './members-service.js';
 import {type QuarantineService} from './quarantine-service.js';
 
 type MemberProceduresOptions = {readonly members: MembersService; readonly quarantine: QuarantineService};
 
-const CrashReportInput = z.object({
-	fingerprint: z.string().max(64),
-	service: z.string().max(63),
-	instances: z.array(z.string().max(63)).max(16),
-	isCleared: z.boolean(),
-	isRelayed: z.boolean(),
-});
+/** Maximum number of crash reports in one call. */
+const maxCrashReports = 1000;
 
 /** Creates the control calls that both kinds of daemon serve: membership views of the region, and crash reports of requests. */
 export function memberProcedures({members, quarantine}: MemberProceduresOptions) {
@@ -20,7 +17,13 @@
 	return {
 		/** Merges the caller's view of the region and returns this host's view. */
 		sync: call.input(z.object({updates: z.array(MemberUpdate).max(5000)})).mutation(({input}) => ({updates: members.exchange(input.updates)})),
-		/** Receives a crash report: upstream instances were lost while they ran a request, or the request was cleared. */
-		strike: call.input(CrashReportInput).mutation(async ({input}) => quarantine.receiveCrashReport(input)),
+		/** Receives crash reports: upstream instances were lost while they ran requests, or requests were cleared. */
+		crashReports: call
+			.input(z.object({reports: z.array(CrashReport).max(maxCrashReports), audience: CrashReportAudience}))
+			.mutation(async ({input}) => quarantine.receiveCrashReports(input.reports, input.audience)),
+		/** Receives one crash report from a host of an earlier release, which sends each report separately. */
+		strike: call
+			.input(CrashReport.extend({isRelayed: z.boolean()}))
+			.mutation(async ({input: {isRelayed, ...report}}) => quarantine.receiveCrashReports([report], isRelayed ? 'region' : 'receiver')),
 	};
 }
--- a/src/services/quarantine-service.ts
+++ b/src/services/quarantine-service.ts
@@ -1,9 +1,15 @@
 import {type Clock} from '../contracts/clock.js';
+import {type CrashReport} from '../contracts/crash-report.js';
+import {type CrashReportAudience} from '../contracts/crash-report-audience.js';
 import {type Member} from '../contracts/member.js';
+import {CrashReportBatch} from '../decisions/crash-report-batch.js';
+import {memberKey} from '../decisions/member-key.js';
 import {Quarantine} from '../decisions/quarantine.js';
+import {rendezvousOrder} from '../decisions/rendezvous-order.js';
 import {type Logger} from './logger.js';
 import {type MembersService} from './members-service.js';
 import {type Metrics} from './metrics.js';
+import {pause} from './pause.js';
 import {type PeerClient} from './peer-client.js';
 
 type QuarantineOptions = {
@@ -12,17 +18,28 @@
 	readonly metrics: Metrics;
 	readonly members: MembersService;
 	readonly peerClient: PeerClient;
+	/** Time for which reports are collected before they are sent together, in milliseconds. */
+	readonly collectMs: number;
 };
 
-type CrashReport = {readonly fingerprint: string; readonly service: string; readonly instances: string[]; readonly isCleared: boolean; readonly isRelayed: boolean};
-
-/** Timeout for sending a crash report to other hosts. */
-const broadcastTimeoutMs = 400;
-
-/** Shares crash reports of requests with all hosts before such a request may run again, and determines which requests are quarantined. */
+/** Time for which the sender of reports waits for the other hosts. */
+const shareTimeoutMs = 400;
+/** Number of reports in one call. */
+const maxReportsPerCall = 256;
+/** Number of hosts that are tried as the receiver that passes reports on to its region. */
+const maxReceiverAttempts = 2;
+/** Key by which the hosts of a region are ordered as receivers of reports. */
+const receiverOrderKey = 'crash reports';
+
+/**
+ * Shares crash reports of requests with all hosts, and determines which requests are quarantined. Reports go through one
+ * collector in each region, so that the number of calls grows with the number of hosts, not with the number of lost requests.
+ */
 export class QuarantineService {
 	readonly #options: QuarantineOptions;
 	readonly #quarantine = new Quarantine();
+	readonly #batch = new CrashReportBatch();
+	#nextSend: Promise<void> | undefined;
 
 	constructor(options: QuarantineOptions) {
 		this.#options = options;
@@ -46,6 +63,7 @@
 	async reportCrash(fingerprint: string, service: string, instanceId: string): Promise<void> {
 		const {clock, logger, metrics} = this.#options;
 		metrics.count('upstream_crash_signs', {service});
+		const isUnshared = this.lostInstances(fingerprint).length === 0;
 		if (!this.#quarantine.recordCrash(fingerprint, service, [instanceId], clock.nowMs())) {
 			return;
 		}
@@ -54,65 +72,144 @@
 			logger.warn('request quarantined: several upstreams were lost while they ran it', {fingerprint, service, instances: this.lostInstances(fingerprint)});
 		}
 
-		await this.#broadcast({
-			fingerprint, service, instances: [...this.lostInstances(fingerprint)], isCleared: false, isRelayed: false,
+		this.#batch.add(fingerprint, {
+			service, isCleared: false, destination: 'collector', isUnshared,
 		});
+		await this.#sendBatch();
 	}
 
 	/** Clears a request after a complete response. */
 	clearAfterResponse(fingerprint: string, service: string): void {
-		if (this.#quarantine.clear(fingerprint)) {
-			void this.#broadcast({
-				fingerprint, service, instances: [], isCleared: true, isRelayed: false,
-			});
+		if (this.#quarantine.clear(fingerprint) && !this.#batch.withdrawUnshared(fingerprint)) {
+			void this.#shareClearing(fingerprint, service);
 		}
 	}
 
 	/** Clears a request on behalf of an operator; returns whether any crash report was recorded for it. */
 	async lift(fingerprint: string): Promise<boolean> {
 		const wasHeld = this.#quarantine.clear(fingerprint);
-		await this.#broadcast({
-			fingerprint, service: '', instances: [], isCleared: true, isRelayed: false,
-		});
+		await this.#shareClearing(fingerprint, '');
 		return wasHeld;
 	}
 
-	/** Merges a crash report from another host, and relays it within the region if it was sent by another region. */
-	async receiveCrashReport(report: CrashReport): Promise<void> {
-		if (report.isCleared) {
-			this.#quarantine.clear(report.fingerprint);
-		} else {
-			this.#quarantine.recordCrash(report.fingerprint, report.service, report.instances, this.#options.clock.nowMs());
+	/** Merges crash reports from another host, and passes them on to the hosts for which this one is responsible. */
+	async receiveCrashReports(reports: readonly CrashReport[], audience: CrashReportAudience): Promise<void> {
+		for (const {fingerprint, service, instances, isCleared} of reports) {
+			this.#batch.recordShared(fingerprint);
+			if (isCleared) {
+				this.#quarantine.clear(fingerprint);
+			} else {
+				this.#quarantine.recordCrash(fingerprint, service, instances, this.#options.clock.nowMs());
+			}
+
+			if (audience !== 'receiver') {
+				this.#batch.add(fingerprint, {
+					service, isCleared, destination: audience === 'region' ? 'own_region' : 'all_regions', isUnshared: false,
+				});
+			}
 		}
 
-		if (report.isRelayed) {
-			await this.#sendTo(this.#regionPeers(), {...report, isRelayed: false});
+		if (audience !== 'receiver') {
+			await this.#sendBatch();
 		}
 	}
 
-	async #broadcast(report: CrashReport): Promise<void> {
+	async #shareClearing(fingerprint: string, service: string): Promise<void> {
+		this.#batch.add(fingerprint, {
+			service, isCleared: true, destination: 'collector', isUnshared: false,
+		});
+		await this.#sendBatch();
+	}
+
+	/** Resolves once the reports that are being collected were sent. */
+	async #sendBatch(): Promise<void> {
+		this.#nextSend ??= this.#collectAndSend();
+		await this.#nextSend;
+	}
+
+	async #collectAndSend(): Promise<void> {
+		await pause(this.#options.collectMs);
+		this.#nextSend = undefined;
+		const reports: Record<'collector' | 'own_region' | 'all_regions', CrashReport[]> = {collector: [], own_region: [], all_regions: []};
+		for (const [fingerprint, {service, isCleared, destination}] of this.#batch.take()) {
+			const instances = isCleared ? [] : [...this.lostInstances(fingerprint)];
+			// A request without a report was cleared by another host in the meantime.
+			if (isCleared || instances.length > 0) {
+				reports[destination].push({
+					fingerprint, service, instances, isCleared,
+				});
+			}
+		}
+
+		await Promise.race([
+			Promise.all([
+				...chunksOf(reports.collector).map(async chunk => this.#sendToCollector(chunk)),
+				...chunksOf(reports.own_region).map(async chunk => this.#sendToRegion(chunk)),
+				...chunksOf(reports.all_regions).map(async chunk => this.#sendToAllRegions(chunk)),
+			]),
+			pause(shareTimeoutMs),
+		]);
+	}
+
+	/** Sends reports to the region's collector. This host takes its place if it is the next in order, or if none can be reached. */
+	async #sendToCollector(reports: readonly CrashReport[]): Promise<void> {
+		const {members} = this.#options;
+		const order = rendezvousOrder(receiverOrderKey, members.membership.candidates(), memberKey);
+		const isSent = await this.#sendToFirst(order, reports, 'all_regions');
+		if (!isSent) {
+			await this.#sendToAllRegions(reports);
+		}
+	}
+
+	async #sendToAllRegions(reports: readonly CrashReport[]): Promise<void> {
 		const {membership} = this.#options.members;
-		const relays = membership.otherRegions().flatMap(region => membership.hostsOf(region).slice(0, 1));
-		await Promise.all([this.#sendTo(this.#regionPeers(), report), this.#sendTo(relays, {...report, isRelayed: true})]);
+		await Promise.all([
+			this.#sendToRegion(reports),
+			...membership.otherRegions().map(async region => this.#sendToFirst(rendezvousOrder(receiverOrderKey, membership.hostsOf(region), memberKey), reports, 'region')),
+		]);
 	}
 
-	#regionPeers(): Member[] {
+	async #sendToRegion(reports: readonly CrashReport[]): Promise<void> {
 		const {members} = this.#options;
-		return members.membership.alive().filter(member => !members.isSelf(member));
+		const peers = members.membership.alive().filter(member => !members.isSelf(member));
+		await Promise.all(peers.map(async peer => this.#send(peer, reports, 'receiver')));
 	}
 
-	async #sendTo(peers: readonly Member[], report: CrashReport): Promise<void> {
-		const calls = peers.map(async peer => {
-			this.#options.metrics.count('crash_report_calls');
-			try {
-				await this.#options.peerClient.control(peer.peers).strike.mutate(report);
-			} catch {
-				this.#options.metrics.count('strike_news_lost');
+	/** Sends reports to the first of a region's hosts that receives them; returns false if none did, or if this host is next. */
+	async #sendToFirst(order: readonly Member[], reports: readonly CrashReport[], audience: CrashReportAudience): Promise<boolean> {
+		for (const host of order.slice(0, maxReceiverAttempts)) {
+			if (this.#options.members.isSelf(host)) {
+				return false;
 			}
-		});
-		const timeout = new Promise<void>(resolve => {
-			setTimeout(resolve, broadcastTimeoutMs).unref();
-		});
-		await Promise.race([Promise.all(calls), timeout]);
+
+			if (await this.#send(host, reports, audience)) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	/** Sends reports to a host; returns whether it received them and passed them on. */
+	async #send(host: Member, reports: readonly CrashReport[], audience: CrashReportAudience): Promise<boolean> {
+		const {peerClient, metrics, logger} = this.#options;
+		metrics.count('crash_report_calls', {audience});
+		try {
+			await peerClient.control(host.peers).crashReports.mutate({reports: [...reports], audience});
+			return true;
+		} catch (err) {
+			metrics.count('strike_news_lost');
+			logger.debug('sending crash reports to a host failed', {to: host.id, audience, err: String(err)});
+			return false;
+		}
 	}
 }
+
+function chunksOf(reports: readonly CrashReport[]): CrashReport[][] {
+	const chunks: CrashReport[][] = [];
+	for (let start = 0; start < reports.length; start += maxReportsPerCall) {
+		chunks.push(reports.slice(start, start + maxReportsPerCall));
+	}
+
+	return chunks;
+}
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -70,6 +70,8 @@
 const shutdownReserveMs = 400;
 /** Entries whose leases expired while the store was unavailable are written again within about two seconds of its recovery. */
 const entryReappearanceMs = 2200;
+/** Time for which crash reports of requests are collected: an instance that fails loses all requests that it runs at once. */
+const crashReportCollectMs = 500;
 const maxPeerResponseBytes = 16_777_216;
 const maxInstanceConnections = 64;
 /** Responses of instances up to this size are buffered completely before they are forwarded. */
@@ -200,7 +202,7 @@
 		.add({
 			name: 'quarantine', requires: ['clock', 'logger', 'metrics', 'members', 'peerClient'],
 			start: ({get}) => new QuarantineService({
-				clock: get('clock'), logger: get('logger'), metrics: get('metrics'), members: get('members'), peerClient: get('peerClient'),
+				clock: get('clock'), logger: get('logger'), metrics: get('metrics'), members: get('members'), peerClient: get('peerClient'), collectMs: crashReportCollectMs,
 			}),
 		});
 }
