A connection that is reset while it opens counts as not sent

What callers saw: 502 for requests that no instance had received, and no second instance tried for those that may not be repeated. Each such reset was also a crash report, which went to all hosts.

Cause: only refused connections and a few other codes counted as not sent; a reset was taken as lost whether the connection was open or not.

Node reports the system call of the error, and nothing is written before a connection is open.

Change: errors of connect are not_sent.

--- a/src/adapters/describe-failure.ts
+++ b/src/adapters/describe-failure.ts
@@ -5,5 +5,7 @@
 export function describeFailure(err: unknown): {readonly kind: 'not_sent' | 'lost'; readonly detail: string} {
 	const code = err instanceof Error && 'code' in err ? String(err.code) : 'unknown';
 	const detail = err instanceof Error ? `${code}: ${err.message}` : code;
-	return {kind: notSentCodes.has(code) ? 'not_sent' : 'lost', detail};
+	// Nothing is written before a connection is open, so that it may also be reset without a loss while it opens.
+	const isConnecting = err instanceof Error && 'syscall' in err && err.syscall === 'connect';
+	return {kind: isConnecting || notSentCodes.has(code) ? 'not_sent' : 'lost', detail};
 }
