Requests start in later turns of the event loop, a few in each

Cause, two faults of one class, a loop whose turns are long: Node's loop accepts one connection a turn and starts every request it reads in the same turn, so that with turns of 0.3 s three clients a second are accepted. And the end of a client's connection is read in the turn after its last request at the earliest, and was acted on only when the server had closed its own side too, so that a request read late was sent on although its client had ended the connection before.

The test "that leave before their request is read cause no send" failed before for a client that ends its connection: the instance ran the request.

Change: a request starts after one whole turn of the loop, and requests start for 10 ms of a turn at most; the end of the client's side counts at once. A request whose client has left is not sent.

--- a/src/services/caller-server.ts
+++ b/src/services/caller-server.ts
@@ -57,7 +57,7 @@
 
 async function handleCall(ctx: CallerContext, options: CallerServerOptions): Promise<Outcome> {
 	const {incoming, outgoing} = ctx.env;
-	const signal = disconnectSignal(outgoing);
+	const signal = disconnectSignal(incoming, outgoing);
 	const body = await receiveBody(incoming, options.maxRequestBytes);
 	if (!body.success) {
 		outgoing.setHeader('connection', 'close');
--- a/src/services/disconnect-signal.ts
+++ b/src/services/disconnect-signal.ts
@@ -1,12 +1,19 @@
-import {type ServerResponse} from 'node:http';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
 
-/** Returns a signal that is aborted when the peer closes the connection before the response is written. */
-export function disconnectSignal(res: ServerResponse): AbortSignal {
+/** Returns a signal that is aborted when the peer ends or closes the connection before the response is written. */
+export function disconnectSignal(req: IncomingMessage, res: ServerResponse): AbortSignal {
 	const controller = new AbortController();
-	res.once('close', () => {
+	const abort = () => {
 		if (!res.writableFinished) {
 			controller.abort();
 		}
+	};
+
+	// The server closes its side once the peer has ended its own, but only some turns of the event loop later.
+	req.socket.once('end', abort);
+	res.once('close', () => {
+		req.socket.off('end', abort);
+		abort();
 	});
 	return controller.signal;
 }
--- a/src/services/peer-server.ts
+++ b/src/services/peer-server.ts
@@ -41,7 +41,7 @@
 async function handleForwarded(ctx: PeerContext, options: PeerServerOptions, run: (job: Job) => Promise<Outcome>): Promise<Response> {
 	const {incoming, outgoing} = ctx.env;
 	const arrivedMs = options.clock.nowMs();
-	const signal = disconnectSignal(outgoing);
+	const signal = disconnectSignal(incoming, outgoing);
 	const head = parseHead(incoming.headers['cowslipspar-work']);
 	const body = await receiveBody(incoming, options.maxRequestBytes);
 	if (head === undefined || !body.success) {
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -128,6 +128,10 @@
 
 	async #handle(req: ProxyRequest, route: Route | undefined): Promise<ProxyOutcome> {
 		const {steering, quarantine} = this.#options;
+		if (req.disconnect.aborted) {
+			return {kind: 'unknown', reason: 'cancelled'};
+		}
+
 		const table = steering.routes;
 		if (table === undefined) {
 			return {kind: 'not_run', reason: 'not_ready', retryAfterMs: notReadyRetryAfterMs};
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -24,6 +24,7 @@
 import {IngressService} from './services/ingress-service.js';
 import {Logger} from './services/logger.js';
 import {LoopMonitor} from './services/loop-monitor.js';
+import {LoopTurns} from './services/loop-turns.js';
 import {MembersService} from './services/members-service.js';
 import {Metrics} from './services/metrics.js';
 import {operatorRoutes} from './services/operator-routes.js';
@@ -70,6 +71,8 @@
 const shutdownReserveMs = 400;
 /** Entries whose leases expired while the store was unavailable are written again within about two seconds of its recovery. */
 const entryReappearanceMs = 2200;
+/** Time in one turn of the event loop for which requests that were read are started. */
+const requestSliceMs = 10;
 /** Time for which crash reports of requests are collected: an instance that fails loses all requests that it runs at once. */
 const crashReportCollectMs = 500;
 const maxPeerResponseBytes = 16_777_216;
@@ -282,7 +285,12 @@
 		.add({
 			name: 'ingress', requires: ['clock', 'logger', 'proxy', 'steering'], async start({get, lifecycle}) {
 				const ingress = new IngressService({
-					address: settings.listen.clients, clock: get('clock'), logger: get('logger'), dialect: platform.dialect, proxy: get('proxy'),
+					address: settings.listen.clients,
+					clock: get('clock'),
+					logger: get('logger'),
+					dialect: platform.dialect,
+					proxy: get('proxy'),
+					turns: new LoopTurns({clock: get('clock'), sliceMs: requestSliceMs}),
 				});
 				get('steering').onRoutes(({limits}) => {
 					ingress.setLimits(limits);
--- a/test/steering-daemon.test.ts
+++ b/test/steering-daemon.test.ts
@@ -309,6 +309,25 @@
 			await until(() => instances.some(instance => instance.cancelledRequestIds.length === 1));
 		});
 
+		it.each(['ends', 'destroys'] as const)('that leave before their request is read cause no send when the client %s its connection', async ending => {
+			const socket = connect(clientsPort, daemon.host, () => {
+				socket.write(requestText('/read/first').replace('raw', 'first'));
+			});
+			await new Promise(resolve => {
+				socket.once('data', resolve);
+			});
+			socket.write(requestText('/read/second').replace('raw', 'second'));
+			if (ending === 'ends') {
+				socket.end();
+			} else {
+				socket.destroy();
+			}
+
+			await request('/read/third');
+			expect(executedRequests().map(({target}) => target).toSorted()).toEqual(['/read/first', '/read/third']);
+			socket.destroy();
+		});
+
 		it('that send both a content length and chunked encoding are refused, and nothing runs', async () => {
 			const twoLengths = 'POST /write/ HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: s\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n';
 			const text = await exchange(daemon.host, `${twoLengths}GET /read/smuggled HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: t\r\n\r\n`);
