Hosts exchange store changes with hosts of the release before

Cause: the format of pulls had changed (sinceRevision and gaps in place of isWhole), so that neither release could read the other's.

Change: a pull names whether its host accepts gaps; one that does not gets all items where removals are unknown. Responses have isWhole again, and the two new fields may be missing.

--- a/src/contracts/item-pull.ts
+++ b/src/contracts/item-pull.ts
@@ -4,16 +4,21 @@
 export const ItemPull = z.object({
 	/** Revision up to which the sender has all changes. */
 	revision: z.int().min(0),
-	/** Revision after which all changes are contained; 0 if all items are. */
-	sinceRevision: z.int().min(0),
+	/** Whether `items` is complete, so that the receiver removes all other keys. */
+	isWhole: z.boolean(),
+	/** Revision after which all changes are contained; 0 if all items are. Hosts of the release before omit it: it is the requested one then. */
+	sinceRevision: z.int().min(0).optional(),
 	items: z.array(z.object({key: z.string(), value: z.string(), revision: z.int()})),
 	/**
 	 * Removed keys, each with the revision of its removal and the time until the removal counts, in milliseconds; above 0 if the
 	 * key's lease may have expired only because the store was unavailable.
 	 */
 	removals: z.array(z.tuple([z.string(), z.int(), z.number().min(0)])),
-	/** Ranges of revisions, without their start and with their end: the receiver removes keys last written in them that are not in `items`. */
-	gaps: z.array(z.tuple([z.int().min(0), z.int().min(0)])),
+	/**
+	 * Ranges of revisions, without their start and with their end: the receiver removes keys last written in them that are not in
+	 * `items`. Hosts of the release before omit them.
+	 */
+	gaps: z.array(z.tuple([z.int().min(0), z.int().min(0)])).optional(),
 });
 
 /** Response to a peer that has an older revision of the store's items. */
--- a/src/services/replica-service.ts
+++ b/src/services/replica-service.ts
@@ -85,12 +85,14 @@
 		});
 	}
 
-	/** Returns the changes after a revision, for a peer that has all changes up to it. */
-	changesSince(haveRevision: number): ItemPull {
+	/** Returns the changes after a revision, for a peer that has all changes up to it; all items if there are gaps and the peer does not know them. */
+	changesSince(haveRevision: number, acceptsGaps: boolean): ItemPull {
 		const nowMs = this.#options.clock.nowMs();
-		const {sinceRevision, revision, items, removals, gaps} = this.items.deltaSince(haveRevision);
+		const delta = this.items.deltaSince(haveRevision);
+		const {sinceRevision, revision, items, removals, gaps} = delta.gaps.length > 0 && !acceptsGaps ? this.items.deltaSince(0) : delta;
 		return {
 			revision,
+			isWhole: sinceRevision === 0,
 			sinceRevision,
 			items: [...items],
 			removals: removals.map(removal => [removal.key, removal.revision, Math.max(0, removal.retainUntilMs - nowMs)]),
@@ -142,16 +144,18 @@
 		metrics.count('replica_pulls');
 		const startMs = clock.nowMs();
 		try {
-			const pull = ItemPull.parse(await peerClient.steering(address).items.mutate({haveRevision: this.items.revision}));
+			const haveRevision = this.items.revision;
+			const pull = ItemPull.parse(await peerClient.steering(address).items.mutate({haveRevision, acceptsGaps: true}));
+			const {isWhole, sinceRevision = isWhole ? 0 : haveRevision, gaps = isWhole ? [[0, pull.revision]] : []} = pull;
 			const nowMs = clock.nowMs();
 			const changes = this.items.applyDelta({
 				...pull,
+				sinceRevision,
 				removals: pull.removals.map(([key, revision, retainMs]) => ({
 					kind: 'removed', key, revision, retainUntilMs: nowMs + retainMs,
 				})),
-				gaps: pull.gaps.map(([afterRevision, upToRevision]) => ({afterRevision, upToRevision})),
+				gaps: gaps.map(([afterRevision, upToRevision]) => ({afterRevision, upToRevision})),
 			}, nowMs);
-			const isWhole = pull.sinceRevision === 0;
 			const tookMs = nowMs - startMs;
 			metrics.observe('replica_pull_seconds', {scope: isWhole ? 'all' : 'changes'}, tookMs);
 			if (isWhole) {
