A request that waits for its turn counts as in flight

What callers could see: a request that was read just before the end of a planned stop ends without an answer (LOST).

Cause: the stop waits for the requests that the proxy handles, and the wait for a turn of the loop came before that.

--- a/src/services/ingress-service.ts
+++ b/src/services/ingress-service.ts
@@ -11,7 +11,6 @@
 import {disconnectSignal} from './disconnect-signal.js';
 import {listenAt} from './listen-at.js';
 import {type Logger} from './logger.js';
-import {type LoopTurns} from './loop-turns.js';
 import {type ProxyOutcome} from './proxy-outcome.js';
 import {type ProxyRequest} from './proxy-request.js';
 import {type ProxyService} from './proxy-service.js';
@@ -23,7 +22,6 @@
 	readonly logger: Logger;
 	readonly dialect: HttpDialect;
 	readonly proxy: ProxyService;
-	readonly turns: LoopTurns;
 };
 
 type Limits = RouteTable['limits'];
@@ -89,12 +87,10 @@
 	}
 
 	async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		const {clock, dialect, proxy, logger, turns} = this.#options;
+		const {clock, dialect, proxy, logger} = this.#options;
 		const arrivedMs = clock.nowMs();
 		const disconnect = disconnectSignal(req, res);
 		try {
-			// A request that was read late may have been followed by the end of its connection.
-			await turns.next();
 			if (this.#phase === 'refusing') {
 				this.#sendErrorStatus(req, res, {kind: 'not_run', reason: 'stopping', retryAfterMs: 0});
 				return;
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -10,6 +10,7 @@
 import {RequestAttempts} from '../decisions/request-attempts.js';
 import {fingerprintOf} from './fingerprint-of.js';
 import {type Logger} from './logger.js';
+import {type LoopTurns} from './loop-turns.js';
 import {type Metrics} from './metrics.js';
 import {type PlannerService} from './planner-service.js';
 import {type ProxyOutcome} from './proxy-outcome.js';
@@ -28,6 +29,7 @@
 	readonly retries: RetryShare;
 	readonly quarantine: QuarantineService;
 	readonly planner: PlannerService;
+	readonly turns: LoopTurns;
 	readonly observer: AttemptObserver;
 	readonly random: SeededRandom;
 	/** Returns the number of hosts that may be sending to the same services. */
@@ -82,9 +84,11 @@
 
 	/** Handles one request, and records its outcome in metrics and the log. */
 	async handle(req: ProxyRequest): Promise<ProxyOutcome> {
-		const {metrics, clock} = this.#options;
+		const {metrics, clock, turns} = this.#options;
 		this.#inFlight++;
 		try {
+			// The end of the client's connection may already have arrived, too, if the request was read late.
+			await turns.next();
 			const route = this.#matchRoute(req);
 			const outcome = await this.#handle(req, route);
 			const tookMs = clock.nowMs() - req.arrivedMs;
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -271,6 +271,7 @@
 					retries: new RetryShare({ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.retryWindowMs}),
 					quarantine: get('quarantine'),
 					planner: get('planner'),
+					turns: new LoopTurns({clock: get('clock'), sliceMs: requestSliceMs}),
 					observer: new AttemptObserver({
 						clock: get('clock'), metrics: get('metrics'), planner: get('planner'), region: settings.host.region,
 					}),
@@ -285,12 +286,7 @@
 		.add({
 			name: 'ingress', requires: ['clock', 'logger', 'proxy', 'steering'], async start({get, lifecycle}) {
 				const ingress = new IngressService({
-					address: settings.listen.clients,
-					clock: get('clock'),
-					logger: get('logger'),
-					dialect: platform.dialect,
-					proxy: get('proxy'),
-					turns: new LoopTurns({clock: get('clock'), sliceMs: requestSliceMs}),
+					address: settings.listen.clients, clock: get('clock'), logger: get('logger'), dialect: platform.dialect, proxy: get('proxy'),
 				});
 				get('steering').onRoutes(({limits}) => {
 					ingress.setLimits(limits);
