A report of a request names at most as many lost instances as a call takes

What callers could see: poison requests that are not quarantined: one request that was lost at more than 16 instances made its receiver refuse the whole call, which since the batches also carries the reports of other requests.

Cause: the list of lost instances had no bound, its schema in the call has one.

Change: 16 instances are kept for a request; two quarantine it. The test failed before: the reports did not fit the schema. A client that sends many requests before it reads the first response no longer makes Node warn about listeners of its socket.

--- a/src/decisions/quarantine.ts
+++ b/src/decisions/quarantine.ts
@@ -12,6 +12,8 @@
 const quarantineInstanceCount = 2;
 /** Time after which the crash reports of a request no longer count. */
 const retentionMs = 3_600_000;
+/** Number of lost instances that are kept for a request; a call between daemons takes no more. */
+const maxLostInstances = 16;
 /** Number of requests whose crash reports are kept. */
 const maxReportedRequests = 10_000;
 
@@ -36,14 +38,14 @@
 	/** Records that instances were lost while they ran a request; returns whether any of them was not known before. */
 	recordCrash(fingerprint: string, service: string, instances: readonly string[], nowMs: number): boolean {
 		const reports = this.#reports.get(fingerprint);
-		const all = new Set([...(reports?.instances ?? []), ...instances]);
-		if (reports?.instances.length === all.size) {
+		const all = [...new Set([...(reports?.instances ?? []), ...instances])].slice(0, maxLostInstances);
+		if (reports?.instances.length === all.length) {
 			return false;
 		}
 
 		this.#reports.delete(fingerprint);
 		this.#reports.set(fingerprint, {
-			fingerprint, service, instances: [...all], sinceMs: reports?.sinceMs ?? nowMs,
+			fingerprint, service, instances: all, sinceMs: reports?.sinceMs ?? nowMs,
 		});
 		if (this.#reports.size > maxReportedRequests) {
 			const [oldest] = this.#reports.keys();
--- a/src/services/disconnect-signal.ts
+++ b/src/services/disconnect-signal.ts
@@ -9,8 +9,9 @@
 		}
 	};
 
-	// The server closes its side once the peer has ended its own, but only some turns of the event loop later.
-	req.socket.once('end', abort);
+	// The server closes its side once the peer has ended its own, but only some turns of the event loop later. A peer may send any
+	// number of requests before it reads the first response, and each has a listener here.
+	req.socket.setMaxListeners(0).once('end', abort);
 	res.once('close', () => {
 		req.socket.off('end', abort);
 		abort();
--- a/src/services/loop-monitor.ts
+++ b/src/services/loop-monitor.ts
@@ -7,7 +7,7 @@
 type LoopMonitorOptions = {readonly clock: Clock; readonly logger: Logger; readonly metrics: Metrics};
 
 const checkIntervalMs = 250;
-/** Delay from which a line is logged: calls between daemons are repeated after 600 ms. */
+/** Delay from which a line is logged; a pull from a peer counts as failed after 600 ms. */
 const minLoggedDelayMs = 300;
 
 /** Measures how late the event loop runs its timers. The processor time in the log line tells a busy process from one that did not run. */
--- a/src/services/quarantine-service.test.ts
+++ b/src/services/quarantine-service.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {type CrashReport} from '../contracts/crash-report.js';
+import {CrashReport} from '../contracts/crash-report.js';
 import {type CrashReportAudience} from '../contracts/crash-report-audience.js';
 import {type Member} from '../contracts/member.js';
 import {type Logger} from './logger.js';
@@ -85,6 +85,13 @@
 		expect(calls.length).toBeLessThan(lost.length);
 	});
 
+	it('names no more instances in a report than its receiver accepts', async () => {
+		const {calls, service} = createFleet();
+		await Promise.all(Array.from({length: 20}, async (_, index) => service('south-4').reportCrash('f', 'ledger', `i-${index}`)));
+		expect(calls.length).toBeGreaterThan(0);
+		expect(calls.flatMap(({reports}) => reports).filter(report => !CrashReport.safeParse(report).success)).toEqual([]);
+	});
+
 	it('quarantines a request everywhere after it crashed instances that hosts of different regions used', async () => {
 		const {ids, service} = createFleet();
 		await Promise.all([service('north-1').reportCrash('f', 'ledger', 'i-1'), service('west-2').reportCrash('f', 'ledger', 'i-2')]);
