--- a/src/services/quarantine-service.ts
+++ b/src/services/quarantine-service.ts
@@ -190,7 +190,7 @@
 		return false;
 	}
 
-	/** Sends reports to a host; returns whether it received them and passed them on. */
+	/** Sends reports to a host; returns whether it received them. Its response follows once it has passed them on, or has tried to for a bounded time. */
 	async #send(host: Member, reports: readonly CrashReport[], audience: CrashReportAudience): Promise<boolean> {
 		const {peerClient, metrics, logger} = this.#options;
 		metrics.count('crash_report_calls', {audience});
