Instances that say they leave, or want a pause, get no more requests from a host

Change: the client of instances hands the head of each response, also one to another request or of a cancelled one, to NoticeRecorder before the body is read. InstanceNotices keeps for one process of an instance (id, start time, address) that it leaves, which no store entry lifts, and until when it pauses. Placement passes over both; if all instances of a service pause, the client is told the shortest rest. Seconds count, with fractions; dates, negative and other texts do not (the time of day may jump). A pause is cut at ten minutes, so that a mistaken value does not take an instance out for as long as its process runs; what asks again after it gets a pause again.

The region is told by the report that hosts send anyway: the planner takes leaving instances out of the plan and names them in its answers, so that hosts learn it within a second while the store is slow or away. A pause concerns one host; two hosts' pauses count as the whole instance, one as half of its slots, and objects leave it within the region at once, to another region within the cap. Gossip was the other way: it would tell other regions too, which learn from their own first answer at the same price.

Evidence: of the tests through the whole daemon three of four failed on the code before (one more request reached the leaving instance; all leaving: 200 instead of 503; pause: 200 instead of 503); the fourth, a pause that leads to another instance, passed before. The others need the new fields.

--- a/lint/platform-names.js
+++ b/lint/platform-names.js
@@ -7,6 +7,7 @@
 	'x-not-executed',
 	'x-server-load',
 	'x-cold-ms',
+	'server-leaving',
 	'x-instance-id',
 	'route_type',
 	'non_idempotent',
--- a/src/adapters/instance-client.ts
+++ b/src/adapters/instance-client.ts
@@ -93,6 +93,7 @@
 				},
 			});
 			const head = this.#readHead(res.statusCode, res.headers as unknown as string[]);
+			call.onHead(head.info);
 			const fault = findFault(call, head, conn.lastReceivedMs === undefined);
 			if (fault !== undefined) {
 				res.body.on('error', ignoreError).destroy();
--- a/src/contracts/http-dialect.ts
+++ b/src/contracts/http-dialect.ts
@@ -19,6 +19,12 @@
 	readonly isNotRun: boolean;
 	/** Whether the request arrived at another instance than the expected one. */
 	readonly isMisdirected: boolean;
+	/** Id of the instance that responded, if it states it. */
+	readonly instanceId: string | undefined;
+	/** Whether the instance states that it is leaving. */
+	readonly isLeaving: boolean;
+	/** Time in milliseconds for which the instance wants no more requests from this host; `undefined` if it states none. */
+	readonly pauseMs: number | undefined;
 	/** Load that the instance reports: requests that run and that wait, and its slots. */
 	readonly load: {readonly running: number; readonly waiting: number; readonly slots: number} | undefined;
 };
--- a/src/contracts/instance-call.ts
+++ b/src/contracts/instance-call.ts
@@ -1,3 +1,5 @@
+import {type HttpDialect} from './http-dialect.js';
+
 /** One attempt to send a request to an instance. */
 export type InstanceCall = {
 	/** IPv4 address and port. */
@@ -12,6 +14,8 @@
 	readonly body: Uint8Array | AsyncIterable<Uint8Array> | undefined;
 	/** Time within which the whole response must be received, in milliseconds. */
 	readonly remainingMs: number;
+	/** Called with the head of each response that arrives, including one that belongs to another request, before its body is read. */
+	readonly onHead: (info: ReturnType<HttpDialect['readResponse']>) => void;
 	/** Aborted when the client closes its connection. */
 	readonly disconnect: AbortSignal;
 };
--- a/src/contracts/placement-report.ts
+++ b/src/contracts/placement-report.ts
@@ -12,6 +12,10 @@
 	routes: z.array(z.tuple([z.string(), z.string(), z.number().min(0)])),
 	/** Slow instance by the host's estimate, and how many times slower than usual it is. */
 	slow: z.array(z.tuple([z.string(), z.number().min(1)])),
+	/** Id, start time and address of each listed instance that stated to the host that it is leaving; hosts of earlier releases report none. */
+	leaving: z.array(z.tuple([z.string(), z.int(), z.string()])).optional(),
+	/** Instance that asked the host for a pause, and the rest of it in milliseconds. */
+	paused: z.array(z.tuple([z.string(), z.number().min(0)])).optional(),
 	/** Service, route, priority, object, and the mean time of its runs at its assigned instance, without the wait there, in milliseconds. */
 	runs: z.array(z.tuple([z.string(), z.string(), z.int().min(0), z.string(), z.number().min(0)])),
 	/** Service, route, priority, object, number of requests, and the regions in which the route's requests may run; empty for all. */
--- a/src/contracts/placement-update.ts
+++ b/src/contracts/placement-update.ts
@@ -8,6 +8,8 @@
 	reserved: z.array(z.tuple([z.string(), z.int().min(0), z.array(z.string())])),
 	/** Object and instance; an empty instance means that the assignment is withdrawn. */
 	entries: z.array(z.tuple([z.string(), z.string()])),
+	/** Id, start time and address of each listed instance that stated to a host of the region that it is leaving. */
+	leaving: z.array(z.tuple([z.string(), z.int(), z.string()])).optional(),
 });
 
 /** Response of a planner to a host's report. */
--- a/src/decisions/instance-table.ts
+++ b/src/decisions/instance-table.ts
@@ -1,5 +1,6 @@
 import {type LiveInstance} from '../contracts/live-instance.js';
 import {InstanceHealth} from './instance-health.js';
+import {InstanceNotices} from './instance-notices.js';
 import {InstanceQueue} from './instance-queue.js';
 
 type Entry = {
@@ -23,6 +24,8 @@
 
 /** Instances of all services as listed in the store, with their health and queue as observed by this host's own attempts. */
 export class InstanceTable {
+	/** What the instances stated in their responses. */
+	readonly notices = new InstanceNotices();
 	readonly #options: InstanceTableOptions;
 	readonly #entries = new Map<string, Entry>();
 	#evacuated: ReadonlySet<string> = new Set();
@@ -74,16 +77,15 @@
 		}
 	}
 
-	/** Returns the instances of a service that accept requests, including those that could not be reached recently. */
+	/** Returns the instances of a service that accept requests, including those that could not be reached recently or asked for a pause. */
 	serving(service: string): Entry[] {
-		return [...this.#entries.values()].filter(({instance}) =>
-			instance.service === service && !instance.isDraining && !this.#evacuated.has(instance.zone));
+		return [...this.#entries.values()].filter(({instance}) => instance.service === service && this.#isServing(instance));
 	}
 
 	/** Returns the instances of all services that accept requests, can be reached and are not cold. */
 	available(nowMs: number): Array<{readonly id: string; readonly service: string; readonly region: string; readonly slots: number}> {
 		return [...this.#entries.values()]
-			.filter(entry => !entry.instance.isDraining && !this.#evacuated.has(entry.instance.zone) && !this.isCold(entry, nowMs) && entry.health.state(nowMs) === 'open')
+			.filter(entry => this.#isServing(entry.instance) && !this.isCold(entry, nowMs) && entry.health.state(nowMs) === 'open')
 			.map(({instance, region}) => ({
 				id: instance.id, service: instance.service, region, slots: instance.slots,
 			}));
@@ -93,9 +95,25 @@
 		return this.#entries.get(id);
 	}
 
+	/** Returns the listed instances that stated that they are leaving. */
+	leaving(): LiveInstance[] {
+		return [...this.#entries.values()].map(entry => entry.instance).filter(instance => this.notices.isLeaving(instance));
+	}
+
+	/** Returns the listed instances that asked this host for a pause, with the rest of it in milliseconds. */
+	paused(nowMs: number): Array<{readonly id: string; readonly pauseMs: number}> {
+		return [...this.#entries.values()]
+			.map(({instance}) => ({id: instance.id, pauseMs: this.notices.pauseMs(instance, nowMs)}))
+			.filter(({pauseMs}) => pauseMs > 0);
+	}
+
 	/** Returns whether an instance may be cold: it reported so, or it could not be reached recently and may have restarted. */
 	isCold(entry: Entry, nowMs: number): boolean {
 		const {failedMs} = entry.health;
 		return nowMs < entry.coldUntilMs || (failedMs !== undefined && nowMs - failedMs < assumedColdMs);
 	}
+
+	#isServing(instance: LiveInstance): boolean {
+		return !instance.isDraining && !this.#evacuated.has(instance.zone) && !this.notices.isLeaving(instance);
+	}
 }
--- a/src/decisions/placement-plan.test.ts
+++ b/src/decisions/placement-plan.test.ts
@@ -120,6 +120,75 @@
 		expect(remoteIds.filter(id => id === 'b0' || id === 'b1')).toEqual([]);
 	});
 
+	describe('with an instance that asked for a pause', () => {
+		const shiftCapPerTick = 0.04;
+
+		function simulatePause(plan: PlacementPlan, instances: Instances, pausing: {readonly hosts: readonly string[]; readonly id: string}, fromMs: number): string[][] {
+			const placements: string[][] = [];
+			simulate(plan, {
+				instances, objects, perSecond: 2, fromMs, forMs: 3000,
+			}, nowMs => {
+				for (const host of pausing.hosts) {
+					plan.applyReport({
+						haveVersion: 0, known: [], host, slow: [], runs: [], routes: [], objects: [], paused: [[pausing.id, 1000]],
+					}, nowMs);
+				}
+
+				placements.push(assignedInstances(plan));
+			});
+			return placements;
+		}
+
+		const placed = (instances: Instances) => {
+			const plan = new PlacementPlan({region: 'a'}, 1, new Map(), 0);
+			simulate(plan, {
+				instances, objects, perSecond: 2, fromMs: 0, forMs: 5000,
+			});
+			return plan;
+		};
+
+		it('assigns its objects to other instances of the region if two hosts report it, and assigns objects to it again afterwards', () => {
+			const instances = instancesOf('a', 2);
+			const plan = placed(instances);
+			const during = simulatePause(plan, instances, {hosts: ['h1', 'h2'], id: 'a0'}, 5000);
+			expect(during.at(-1)).not.toContain('a0');
+			simulate(plan, {
+				instances, objects, perSecond: 6, fromMs: 8000, forMs: 20_000,
+			});
+			expect(assignedInstances(plan)).toContain('a0');
+		});
+
+		it('keeps most of its objects if only one of several hosts reports it', () => {
+			const instances = instancesOf('a', 4);
+			const plan = placed(instances);
+			const before = assignedInstances(plan).filter(id => id === 'a0').length;
+			for (let nowMs = 5000; nowMs < 8000; nowMs += tickMs) {
+				plan.applyReport({
+					haveVersion: 0, known: [], host: 'h1', slow: [], runs: [], routes: [], objects: [], paused: [['a0', 1000]],
+				}, nowMs);
+				plan.tick({instances, priorities: new Map(), hosts: new Map([['a', 4]])}, nowMs);
+			}
+
+			expect(assignedInstances(plan).filter(id => id === 'a0').length).toBeGreaterThan(before / 2);
+		});
+
+		it('returns its objects from another region only within the cap on shifts', () => {
+			const instances = [...instancesOf('a', 4), ...instancesOf('b', 1)];
+			const plan = new PlacementPlan({region: 'a'}, 1, new Map(objects.map((object, index) => [objectId('s', 0, object), index < 12 ? 'b0' : `a${index % 4}`])), 0);
+			simulate(plan, {
+				instances, objects, perSecond: 2, fromMs: 0, forMs: 3000,
+			});
+			const remoteBefore = assignedInstances(plan).filter(id => id === 'b0').length;
+			expect(remoteBefore).toBeGreaterThan(6);
+			let remote = remoteBefore;
+			for (const placement of simulatePause(plan, instances, {hosts: ['h1', 'h2'], id: 'b0'}, 3000)) {
+				const next = placement.filter(id => id === 'b0').length;
+				expect(remote - next).toBeLessThanOrEqual(Math.ceil(objects.length * shiftCapPerTick) + 1);
+				remote = next;
+			}
+		});
+	});
+
 	describe('with a slow instance', () => {
 		const instances = instancesOf('a', 4);
 
--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -6,6 +6,7 @@
 import {ObjectCapacity} from './object-capacity.js';
 import {objectId} from './object-id.js';
 import {minDemandSlots} from './min-demand-slots.js';
+import {PauseReports} from './pause-reports.js';
 import {PoolUsage} from './pool-usage.js';
 import {regionCapacities} from './region-capacities.js';
 import {RegionLoads} from './region-loads.js';
@@ -74,13 +75,14 @@
 	readonly #routeTimes = new RouteTimes();
 	readonly #regionLoads: RegionLoads;
 	readonly #slownessReports = new SlownessReports();
+	readonly #pauseReports = new PauseReports();
 	readonly #objectCapacity = new ObjectCapacity();
 	readonly #reserve = new UrgentReserve();
 	readonly #startMs: number;
 	readonly #shiftBudget = new ShiftBudget();
 	#reservations: PlacementUpdate['reserved'] = [];
-	/** Ids of the instances that accept requests. */
-	#presentIds: ReadonlySet<string> = new Set();
+	/** Regions of the instances that accept requests, by instance id; an instance may be missing from its pool while it pauses. */
+	#presentRegions: ReadonlyMap<string, string> = new Map();
 	#priorities: Priorities = new Map();
 	/** Slots and hosts of each region by service. */
 	#regionCapacities: ReadonlyMap<string, ReturnType<typeof regionCapacities>> = new Map();
@@ -111,6 +113,10 @@
 			this.#slownessReports.apply(instanceId, report.host, slowness, nowMs);
 		}
 
+		for (const [instanceId, pauseMs] of report.paused ?? []) {
+			this.#pauseReports.apply(instanceId, report.host, pauseMs, nowMs);
+		}
+
 		for (const run of report.runs) {
 			this.#countRun(run, nowMs);
 		}
@@ -164,12 +170,15 @@
 		this.#poolLoads = [];
 		this.#usedSlots = new Map();
 		this.#reservations = [];
-		this.#presentIds = new Set(instances.map(instance => instance.id));
+		this.#presentRegions = new Map(instances.map(instance => [instance.id, instance.region]));
 		this.#priorities = priorities;
 		const services = [...new Set(instances.map(instance => instance.service))];
 		this.#regionCapacities = new Map(services.map(service => [service, regionCapacities(instances.filter(instance => instance.service === service), hosts)]));
-		// An instance that is three times slower than usual counts with a third of its slots.
-		const adjustedInstances = instances.map(instance => ({...instance, slots: instance.slots / this.#slownessReports.slownessOf(instance.id, nowMs)}));
+		const ownHosts = hosts.get(this.#region) ?? 1;
+		// An instance that is three times slower than usual counts with a third of its slots, and one that pauses for all hosts with none.
+		const adjustedInstances = instances
+			.map(instance => ({...instance, slots: instance.slots * this.#pauseReports.usableShare(instance.id, ownHosts, nowMs) / this.#slownessReports.slownessOf(instance.id, nowMs)}))
+			.filter(({slots}) => slots > 0);
 		const pools = services.flatMap(service => this.#poolsOf(service, adjustedInstances, nowMs));
 		const requestsPerSecond = pools.flatMap(pool => pool.objects).reduce((sum, object) => sum + object.demand.requestsPerSecond(nowMs), 0);
 		this.#shiftBudget.advance(requestsPerSecond, nowMs);
@@ -296,7 +305,8 @@
 		const {usage, objects} = pool;
 		const unplaced = objects.filter(object => usage.get(object.instanceId) === undefined);
 		for (const object of this.#byDemand(unplaced, nowMs)) {
-			const isPresent = this.#presentIds.has(object.instanceId);
+			const presentRegion = this.#presentRegions.get(object.instanceId);
+			const isPresent = presentRegion !== undefined;
 			if (isPresent && !usage.localInstances.some(instance => mayRunIn(object, instance.region))) {
 				this.#shift(usage, object, this.#remoteTarget(pool, object, nowMs), nowMs);
 				continue;
@@ -307,6 +317,11 @@
 				continue;
 			}
 
+			if (isPresent && presentRegion !== initial.region) {
+				this.#shift(usage, object, initial, nowMs);
+				continue;
+			}
+
 			const isInstanceLost = object.instanceId !== '' && !isPresent;
 			const remote = isInstanceLost && usage.utilization(initial) > busyUtilization ? this.#remoteTarget(pool, object, nowMs) : undefined;
 			const isRemoteBetter = remote !== undefined && usage.utilization(remote) + utilizationMargin < usage.utilization(initial);
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -52,10 +52,11 @@
 	readonly runMs: number;
 };
 
-/** Instance to send a request to, with the expected wait there; `busy` if the wait would be `excessMs` longer than allowed; `none` if no instance is usable. Times are in milliseconds. */
+/** Instance to send a request to, with the expected wait there; `busy` if the wait would be `excessMs` longer than allowed; `paused` if all instances asked for a pause, with the shortest rest of one; `none` if no instance is usable. Times are in milliseconds. */
 type PlacementChoice =
 	| {readonly kind: 'instance'; readonly entry: Candidate; readonly waitMs: number}
 	| {readonly kind: 'busy'; readonly excessMs: number}
+	| {readonly kind: 'paused'; readonly pauseMs: number}
 	| {readonly kind: 'none'};
 
 /** Maximum wait of a request at an instance that more urgent requests need too, as a share of their target time. */
@@ -76,11 +77,14 @@
 
 	/** Returns the instance to send a request to now. A request that is not expected to end before its deadline is not sent. */
 	choose(req: PlacementRequest, nowMs: number): PlacementChoice {
-		const allowed = this.#options.table.serving(req.service).filter(entry =>
-			!req.avoid.has(entry.instance.id) && (req.allowedRegions.length === 0 || req.allowedRegions.includes(entry.region)));
+		const {table} = this.#options;
+		const inAllowedRegions = table.serving(req.service).filter(entry => req.allowedRegions.length === 0 || req.allowedRegions.includes(entry.region));
+		const pauses = inAllowedRegions.map(entry => table.notices.pauseMs(entry.instance, nowMs));
+		const allowed = inAllowedRegions.filter((entry, index) => pauses[index] === 0 && !req.avoid.has(entry.instance.id));
 		const preferred = this.#preferred(allowed, req, nowMs);
 		if (preferred === undefined) {
-			return {kind: 'none'};
+			const pauseMs = Math.min(...pauses);
+			return pauses.length > 0 && pauseMs > 0 ? {kind: 'paused', pauseMs} : {kind: 'none'};
 		}
 
 		const waitMs = this.#waitMs(preferred, nowMs);
--- a/src/decisions/sending.test.ts
+++ b/src/decisions/sending.test.ts
@@ -153,6 +153,35 @@
 		expect(table.serving('s').map(entry => entry.instance.id)).toEqual(['i2']);
 	});
 
+	it('excludes an instance that stated that it leaves, also if the store lists it as ready again, until another process runs under its id or address', () => {
+		const table = new InstanceTable({regionOf});
+		table.write(instance('i1'), 0);
+		table.notices.recordLeaving(instance('i1'));
+		expect(table.serving('s')).toEqual([]);
+		expect(table.available(0)).toEqual([]);
+		table.remove('i1', 0, 0);
+		table.write(instance('i1', {slots: 4}), 100);
+		expect(table.serving('s')).toEqual([]);
+		expect(table.leaving().map(({id}) => id)).toEqual(['i1']);
+		table.write(instance('i1', {born: 2}), 200);
+		table.write(instance('i2'), 200);
+		expect(table.serving('s').map(entry => entry.instance.id)).toEqual(['i1', 'i2']);
+		expect(table.leaving()).toEqual([]);
+	});
+
+	it('keeps the longest pause that an instance asked for, bounds it, and ends it with time', () => {
+		const table = new InstanceTable({regionOf});
+		table.write(instance('i1'), 0);
+		table.notices.recordPause(instance('i1'), 1500, 0);
+		table.notices.recordPause(instance('i1'), 100, 0);
+		expect(table.paused(1000)).toEqual([{id: 'i1', pauseMs: 500}]);
+		expect(table.paused(1500)).toEqual([]);
+		table.notices.recordPause(instance('i1'), 3_600_000, 2000);
+		expect(table.paused(2000)).toEqual([{id: 'i1', pauseMs: 600_000}]);
+		table.write(instance('i1', {born: 2}), 2000);
+		expect(table.paused(2000)).toEqual([]);
+	});
+
 	it('treats a new process under a known id as another instance', () => {
 		const table = new InstanceTable({regionOf});
 		table.write(instance('i1'), 0);
@@ -329,6 +358,47 @@
 		});
 	});
 
+	describe('when instances asked for a pause', () => {
+		const pause = (table: InstanceTable, id: string, pauseMs: number) => {
+			table.notices.recordPause(instance(id), pauseMs, 0);
+		};
+
+		it('sends an object\'s requests to another instance meanwhile, and back afterwards', () => {
+			const {table, choose} = setUp(new Map([[objectId('s', 0, 'k'), 'i1']]));
+			table.write(instance('i1'), 0);
+			table.write(instance('i2'), 0);
+			pause(table, 'i1', 700);
+			expect(choose('k', {}, 699)).toBe('i2');
+			expect(choose('k', {}, 700)).toBe('i1');
+		});
+
+		it('does not probe an unreachable instance before the end of its pause', () => {
+			const {table, choose} = setUp(undefined, true);
+			table.write(instance('i1'), 0);
+			table.get('i1')!.health.recordResult('unreachable', 0);
+			pause(table, 'i1', 900);
+			expect(choose('k', {}, 800)).toBeUndefined();
+			expect(choose('k', {}, 900)).toBe('i1');
+		});
+
+		it('returns the shortest rest of a pause if all instances asked for one, including those already tried', () => {
+			const {table, decide} = setUp();
+			table.write(instance('i1'), 0);
+			table.write(instance('i2'), 0);
+			pause(table, 'i1', 900);
+			pause(table, 'i2', 300);
+			expect(decide('k', {avoid: new Set(['i2'])}, 100)).toEqual({kind: 'paused', pauseMs: 200});
+		});
+
+		it('does not return a pause if an instance that was tried already asked for none', () => {
+			const {table, decide} = setUp();
+			table.write(instance('i1'), 0);
+			table.write(instance('i2'), 0);
+			pause(table, 'i1', 900);
+			expect(decide('k', {avoid: new Set(['i2'])})).toEqual({kind: 'none'});
+		});
+	});
+
 	it('probes an instance that failed with repeatable requests only', () => {
 		const {table, choose} = setUp(undefined, true);
 		table.write(instance('i1'), 0);
--- a/src/kernel/registry.ts
+++ b/src/kernel/registry.ts
@@ -18,6 +18,7 @@
 import {type MembersService} from '../services/members-service.js';
 import {type Metrics} from '../services/metrics.js';
 import {type PeerClient} from '../services/peer-client.js';
+import {type NoticeRecorder} from '../services/notice-recorder.js';
 import {type PlannerService} from '../services/planner-service.js';
 import {type ProxyService} from '../services/proxy-service.js';
 import {type QuarantineService} from '../services/quarantine-service.js';
@@ -63,6 +64,7 @@
 	readonly steering: SteeringService;
 	readonly roster: HostListService;
 	readonly instanceClient: InstanceClient;
+	readonly notices: NoticeRecorder;
 	readonly planner: PlannerService;
 	readonly proxy: ProxyService;
 	readonly ingress: IngressService;
--- a/src/services/attempt-observer.test.ts
+++ b/src/services/attempt-observer.test.ts
@@ -29,7 +29,7 @@
 		framing: 'length',
 		body: new Uint8Array(),
 		info: {
-			requestId: 'q', isSigned: true, isNotRun: false, isMisdirected: false, load: {running: 1, waiting, slots: 3},
+			requestId: 'q', isSigned: true, isNotRun: false, isMisdirected: false, instanceId: undefined, isLeaving: false, pauseMs: undefined, load: {running: 1, waiting, slots: 3},
 		},
 	};
 }
--- a/src/services/planner-service.ts
+++ b/src/services/planner-service.ts
@@ -11,6 +11,7 @@
 import {type Logger} from './logger.js';
 import {type MembersService} from './members-service.js';
 import {type Metrics} from './metrics.js';
+import {type NoticeRecorder} from './notice-recorder.js';
 import {type PeerClient} from './peer-client.js';
 import {type SteeringService} from './steering-service.js';
 
@@ -22,6 +23,7 @@
 	readonly peerClient: PeerClient;
 	readonly instances: InstanceTable;
 	readonly steering: SteeringService;
+	readonly notices: NoticeRecorder;
 };
 
 type Reservation = {readonly priority: number; readonly instanceIds: ReadonlySet<string>};
@@ -56,6 +58,8 @@
 	#isReporting = false;
 	#ticks = 0;
 	#ticksSinceReport = 0;
+	/** Number of leaving instances in the latest report that the planner accepted. */
+	#reportedLeaving = 0;
 
 	constructor(options: PlannerOptions) {
 		this.#options = options;
@@ -117,7 +121,8 @@
 
 	/** Merges a host's report into the region's plan and returns the assignments that the host lacks. */
 	receiveReport(report: PlacementReport): PlacementUpdate {
-		return this.#ensurePlan().applyReport(report, this.#options.clock.nowMs());
+		this.#recordLeaving(report.leaving, report.host);
+		return {...this.#ensurePlan().applyReport(report, this.#options.clock.nowMs()), leaving: this.#leavingInstances()};
 	}
 
 	/** Merges another region's load if this host is the planner; otherwise relays it to the region's planner, unless it was relayed already. */
@@ -154,7 +159,8 @@
 
 		this.#ticksSinceReport++;
 		const hasUnassigned = [...this.#requests.values()].some(req => !this.#assignments.has(objectId(req.service, req.priority, req.objectKey)));
-		const isDue = this.#ticksSinceReport >= ticksPerRegularReport || hasUnassigned || this.slownessEstimator.slowInstances(clock.nowMs()).length > 0;
+		const hasNotices = instances.leaving().length !== this.#reportedLeaving || instances.paused(clock.nowMs()).length > 0;
+		const isDue = this.#ticksSinceReport >= ticksPerRegularReport || hasUnassigned || hasNotices || this.slownessEstimator.slowInstances(clock.nowMs()).length > 0;
 		if (!this.#isReporting && isDue) {
 			this.#ticksSinceReport = 0;
 			void this.#report(isPlanner);
@@ -172,13 +178,15 @@
 	}
 
 	async #report(isPlanner: boolean): Promise<void> {
-		const {members, peerClient, logger} = this.#options;
+		const {members, peerClient, logger, instances, clock} = this.#options;
 		const planner = members.ownerOf('placement');
 		const plannerKey = memberKey(planner);
 		const report: PlacementReport = {
 			haveVersion: this.#version,
 			host: members.membership.self.id,
-			slow: this.slownessEstimator.slowInstances(this.#options.clock.nowMs()),
+			slow: this.slownessEstimator.slowInstances(clock.nowMs()),
+			leaving: this.#leavingInstances(),
+			paused: instances.paused(clock.nowMs()).map(({id, pauseMs}) => [id, Math.round(pauseMs)]),
 			known: plannerKey === this.#lastPlannerKey ? [] : [...this.#assignments],
 			routes: [...this.#responseTimes.values()].map(entry => [entry.service, entry.route, Math.round(entry.shortestMs)]),
 			runs: [...this.#runs.values()].map(entry => [entry.service, entry.route, entry.priority, entry.objectKey, Math.round(entry.totalMs / entry.runs)]),
@@ -191,6 +199,7 @@
 		try {
 			this.#applyUpdate(isPlanner ? this.receiveReport(report) : PlacementUpdate.parse(await peerClient.steering(planner.peers).report.mutate(report)));
 			this.#lastPlannerKey = plannerKey;
+			this.#reportedLeaving = report.leaving?.length ?? 0;
 		} catch (err) {
 			logger.debug('reporting to the planner failed', {err: String(err)});
 		} finally {
@@ -198,8 +207,19 @@
 		}
 	}
 
+	#leavingInstances(): Array<[id: string, born: number, address: string]> {
+		return this.#options.instances.leaving().map(({id, born, address}) => [id, born, address]);
+	}
+
+	#recordLeaving(leaving: PlacementReport['leaving'], source: string): void {
+		for (const [id, born, address] of leaving ?? []) {
+			this.#options.notices.recordLeaving({id, born, address}, source);
+		}
+	}
+
 	#applyUpdate(update: PlacementUpdate): void {
 		this.#version = update.version;
+		this.#recordLeaving(update.leaving, 'planner');
 		this.#reservations = new Map(update.reserved.map(([service, priority, ids]) => [service, {priority, instanceIds: new Set(ids)}]));
 		for (const [id, instanceId] of update.entries) {
 			if (instanceId === '') {
--- a/src/services/proxy-outcome.ts
+++ b/src/services/proxy-outcome.ts
@@ -11,7 +11,7 @@
 		readonly expectedWaitMs: number;
 	}
 	/** The request did not run and will not run later. */
-	| {readonly kind: 'not_run'; readonly reason: 'not_ready' | 'no_upstream' | 'busy' | 'shed' | 'retry_budget' | 'timeout' | 'quarantined' | 'stopping'; readonly retryAfterMs: number}
+	| {readonly kind: 'not_run'; readonly reason: 'not_ready' | 'no_upstream' | 'busy' | 'paused' | 'shed' | 'retry_budget' | 'timeout' | 'quarantined' | 'stopping'; readonly retryAfterMs: number}
 	/** The request may have run. */
 	| {readonly kind: 'unknown'; readonly reason: 'timeout' | 'lost' | 'broken' | 'cancelled'}
 	/** The request itself is invalid. */
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -12,6 +12,7 @@
 import {type Logger} from './logger.js';
 import {type LoopTurns} from './loop-turns.js';
 import {type Metrics} from './metrics.js';
+import {type NoticeRecorder} from './notice-recorder.js';
 import {type PlannerService} from './planner-service.js';
 import {type ProxyOutcome} from './proxy-outcome.js';
 import {type ProxyRequest} from './proxy-request.js';
@@ -31,6 +32,7 @@
 	readonly planner: PlannerService;
 	readonly turns: LoopTurns;
 	readonly observer: AttemptObserver;
+	readonly notices: NoticeRecorder;
 	readonly random: SeededRandom;
 	/** Returns the number of hosts that may be sending to the same services. */
 	readonly countHosts: () => number;
@@ -201,7 +203,11 @@
 			}
 
 			const choice = this.#choose(context, nowMs);
-			if (choice.kind === 'none') {
+			if (choice.kind === 'paused' && !attempts.mayHaveRun) {
+				return {kind: 'not_run', reason: 'paused', retryAfterMs: choice.pauseMs};
+			}
+
+			if (choice.kind === 'none' || choice.kind === 'paused') {
 				return this.#outcomeWithoutResponse(attempts, lastResult, lastResult === undefined ? 'no_upstream' : 'shed');
 			}
 
@@ -245,7 +251,7 @@
 	}
 
 	async #send(context: RequestContext, entry: InstanceEntry, expectedWaitMs: number): Promise<InstanceResult> {
-		const {clock, client, observer, logger} = this.#options;
+		const {clock, client, observer, notices, logger} = this.#options;
 		const {req, route, body, service, deadlineMs} = context;
 		const {id, address} = entry.instance;
 		const remainingMs = Math.max(1, deadlineMs - clock.nowMs());
@@ -261,6 +267,9 @@
 			headers: req.headers,
 			body: toCallBody(body),
 			remainingMs,
+			onHead(info) {
+				notices.recordHead(entry.instance, info);
+			},
 			disconnect: req.disconnect,
 		});
 		const tookMs = Math.round(recordEnd(result));
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -28,6 +28,7 @@
 import {MembersService} from './services/members-service.js';
 import {Metrics} from './services/metrics.js';
 import {operatorRoutes} from './services/operator-routes.js';
+import {NoticeRecorder} from './services/notice-recorder.js';
 import {PeerClient} from './services/peer-client.js';
 import {PlannerService} from './services/planner-service.js';
 import {ProxyService} from './services/proxy-service.js';
@@ -214,7 +215,13 @@
 	const {bounds} = settings;
 	kernel
 		.add({
-			name: 'planner', requires: ['clock', 'logger', 'metrics', 'members', 'peerClient', 'instances', 'steering'], start({get, lifecycle}) {
+			name: 'notices', requires: ['clock', 'logger', 'metrics', 'instances'],
+			start: ({get}) => new NoticeRecorder({
+				clock: get('clock'), logger: get('logger'), metrics: get('metrics'), instances: get('instances'),
+			}),
+		})
+		.add({
+			name: 'planner', requires: ['clock', 'logger', 'metrics', 'members', 'peerClient', 'instances', 'steering', 'notices'], start({get, lifecycle}) {
 				const planner = new PlannerService({
 					clock: get('clock'),
 					logger: get('logger'),
@@ -223,6 +230,7 @@
 					peerClient: get('peerClient'),
 					instances: get('instances'),
 					steering: get('steering'),
+					notices: get('notices'),
 				});
 				planner.start(lifecycle);
 				return planner;
@@ -244,7 +252,7 @@
 			},
 		})
 		.add({
-			name: 'proxy', requires: ['clock', 'logger', 'metrics', 'steering', 'instances', 'instanceClient', 'quarantine', 'members', 'planner'], start({get}) {
+			name: 'proxy', requires: ['clock', 'logger', 'metrics', 'steering', 'instances', 'instanceClient', 'quarantine', 'members', 'planner', 'notices'], start({get}) {
 				const members = get('members');
 				const placement = new Placement({
 					table: get('instances'),
@@ -271,6 +279,7 @@
 					retries: new RetryShare({ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMs: bounds.retryWindowMs}),
 					quarantine: get('quarantine'),
 					planner: get('planner'),
+					notices: get('notices'),
 					turns: new LoopTurns({clock: get('clock'), sliceMs: requestSliceMs}),
 					observer: new AttemptObserver({
 						clock: get('clock'), metrics: get('metrics'), planner: get('planner'), region: settings.host.region,
--- a/stand-ins/platform-instance-stand-in.ts
+++ b/stand-ins/platform-instance-stand-in.ts
@@ -3,7 +3,7 @@
 import {HttpStandIn} from './http-stand-in.js';
 
 type ExecutedRequest = {readonly requestId: string; readonly method: string; readonly target: string; readonly body: string; readonly headers: IncomingMessage['headers']};
-type Behaviour = 'answer' | 'shed' | 'misdirect' | 'crash' | 'silent' | 'fail' | 'unsigned' | 'wrong-id';
+type Behaviour = 'answer' | 'shed' | 'pause' | 'misdirect' | 'crash' | 'silent' | 'fail' | 'unsigned' | 'wrong-id';
 
 /** Instance of the platform that records the requests it ran and fails as configured. */
 export class PlatformInstanceStandIn {
@@ -14,6 +14,10 @@
 	behaviours: Behaviour[] = ['answer'];
 	/** Time that a request runs, in milliseconds. */
 	runMs = 0;
+	/** Whether all responses state that the instance is leaving. */
+	isLeaving = false;
+	/** `Retry-After` of the responses of behaviour `pause`, in seconds. */
+	pauseSeconds = '1';
 	/** Reported load: running requests, queued requests and slots. */
 	load = '1,0,3';
 	readonly #http = new HttpStandIn((req, res) => {
@@ -32,6 +36,15 @@
 		const behaviour = this.behaviours.length > 1 ? this.behaviours.shift()! : this.behaviours[0]!;
 		const requestId = String(req.headers['x-request-id']);
 		const body = await collectBody(req).catch(() => '(broken off)');
+		if (this.isLeaving) {
+			res.setHeader('Server-Leaving', '1');
+		}
+
+		if (behaviour === 'pause') {
+			res.writeHead(503, {'X-Not-Executed': '1', 'X-Request-Id': requestId, 'Retry-After': this.pauseSeconds}).end();
+			return;
+		}
+
 		if (behaviour === 'shed' || behaviour === 'misdirect') {
 			res.writeHead(behaviour === 'shed' ? 503 : 421, behaviour === 'shed' ? {'X-Not-Executed': '1', 'X-Request-Id': requestId} : {}).end();
 			return;
@@ -51,7 +64,7 @@
 		this.#finish(behaviour, requestId, req, res);
 	}
 
-	#finish(behaviour: Exclude<Behaviour, 'shed' | 'misdirect'>, requestId: string, req: IncomingMessage, res: ServerResponse): void {
+	#finish(behaviour: Exclude<Behaviour, 'shed' | 'pause' | 'misdirect'>, requestId: string, req: IncomingMessage, res: ServerResponse): void {
 		switch (behaviour) {
 			case 'silent': {
 				return;
--- a/test/steering-daemon.test.ts
+++ b/test/steering-daemon.test.ts
@@ -248,6 +248,61 @@
 			expect(executedRequests().length).toBe(before);
 		});
 
+		const sendUntilServedElsewhere = async (instance: PlatformInstanceStandIn) => {
+			for (let index = 0; index < 4; index++) {
+				await request('/write/', {method: 'POST', body: 'b', headers: {'x-affinity-key': `k${index}`}});
+			}
+
+			return instance.executedRequests.length;
+		};
+
+		it('that state in a response that they are leaving receive no further request, though the store lists them as ready', async () => {
+			const [leaving] = instances as [PlatformInstanceStandIn];
+			leaving.isLeaving = true;
+			const executed = await sendUntilServedElsewhere(leaving);
+			expect(executed).toBeLessThanOrEqual(1);
+			store.write('servers/i-0', instanceEntry(addresses[0]!, {sequence: 9}));
+			await until(() => daemon.kernel.get('replica').items.withPrefix('servers/i-0')[0]!.value.includes('"sequence":9'));
+			expect(await sendUntilServedElsewhere(leaving)).toBe(executed);
+		});
+
+		it('that are all leaving cause immediate refusals, and nothing more runs', async () => {
+			for (const instance of instances) {
+				instance.isLeaving = true;
+			}
+
+			await sendUntilServedElsewhere(instances[0]!);
+			const before = executedRequests().length;
+			const startMs = performance.now();
+			expect(await request('/write/', {method: 'POST', body: 'b'})).toMatchObject({status: 503});
+			expect(performance.now() - startMs).toBeLessThan(200);
+			expect(executedRequests()).toHaveLength(before);
+		});
+
+		it('that ask for a pause receive no requests until it ends; the caller is told the rest of the shortest one', async () => {
+			for (const [index, instance] of instances.entries()) {
+				instance.behaviours = ['pause', 'answer'];
+				instance.pauseSeconds = index === 0 ? '0.9' : '30';
+			}
+
+			const first = await request('/write/', {method: 'POST', body: 'b'});
+			expect(first.status).toBe(503);
+			const refused = await request('/write/', {method: 'POST', body: 'b'});
+			expect(refused.status).toBe(503);
+			expect(Number(refused.headers['retry-after'])).toBeGreaterThan(0);
+			expect(Number(refused.headers['retry-after'])).toBeLessThanOrEqual(0.9);
+			expect(executedRequests()).toEqual([]);
+			await until(async () => await statusOf('/read/') === 200);
+			expect(instances[1]!.executedRequests).toEqual([]);
+		});
+
+		it('that ask for a pause have the request sent to another instance', async () => {
+			instances[0]!.behaviours = ['pause', 'answer'];
+			instances[1]!.behaviours = ['answer'];
+			const responses = await Promise.all(Array.from({length: 4}, async (_, index) => request('/write/', {method: 'POST', body: 'b', headers: {'x-affinity-key': `k${index}`}})));
+			expect(responses.map(response => response.status)).toEqual([200, 200, 200, 200]);
+		});
+
 		it('that crash run a non-repeatable request only once', async () => {
 			setBehaviour('crash');
 			expect(await request('/write/', {method: 'POST', body: 'b'})).toMatchObject({status: 502});
