What stands behind a response that closes the connection is neither passed on nor answered

What callers saw: requests that a client sends behind one another were all passed on at once. At a planned stop the first response closed the connection, and the requests behind it, which instances were running, were cut without an answer (LOST); the client then sent them again, so that one that must not be repeated could run twice. Bytes that are no request behind good ones were answered with 400 in place of the first one's answer. A client that reset its connection left its second and further requests at work, since only the response that is being written is told of the close (GONE).

Change: RequestPipeline keeps the requests of a connection; those that were passed on are always the first ones, and the connection closes with the response to the last of them. Repeatable requests are passed on up to 16 at a time, others when none is ahead. Bodies and statuses of the parser moved to files of their own.

--- a/src/services/ingress-service.ts
+++ b/src/services/ingress-service.ts
@@ -1,19 +1,22 @@
-import {Buffer} from 'node:buffer';
 import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
+	createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import {type Socket} from 'node:net';
+import {type Duplex} from 'node:stream';
 import {endToEndHeaders} from '../adapters/end-to-end-headers.js';
 import {rawHeader} from '../adapters/raw-header.js';
 import {type Clock} from '../contracts/clock.js';
 import {type HttpDialect} from '../contracts/http-dialect.js';
 import {type RouteTable} from '../contracts/route-table.js';
+import {RequestPipeline} from '../decisions/request-pipeline.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
 import {disconnectSignal} from './disconnect-signal.js';
 import {listenAt} from './listen-at.js';
 import {type Logger} from './logger.js';
 import {type ProxyOutcome} from './proxy-outcome.js';
-import {type ProxyRequest} from './proxy-request.js';
 import {type ProxyService} from './proxy-service.js';
+import {readRequestBody} from './read-request-body.js';
+import {statusOfParseError} from './status-of-parse-error.js';
 
 type IngressOptions = {
 	/** IPv4 address and port. */
@@ -25,6 +28,12 @@
 };
 
 type Limits = RouteTable['limits'];
+type ServedRequest = {
+	readonly req: IncomingMessage;
+	readonly res: ServerResponse;
+	readonly pipeline: RequestPipeline;
+	readonly exchange: NonNullable<ReturnType<RequestPipeline['add']>>;
+};
 type PlainResponse = {readonly status: number; readonly headers: readonly string[]; readonly body?: Uint8Array};
 type AnswerOutcome = Extract<ProxyOutcome, {kind: 'answer'}>;
 
@@ -47,6 +56,7 @@
 export class IngressService {
 	readonly #options: IngressOptions;
 	readonly #server: Server;
+	readonly #pipelines = new Map<Duplex, RequestPipeline>();
 	#limits = initialLimits;
 	#phase: 'serving' | 'closing' | 'refusing' = 'serving';
 
@@ -55,7 +65,10 @@
 		this.#server = createServer({
 			maxHeaderSize: maxParserHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: connectionCheckMs, noDelay: true,
 		}, (req, res) => {
-			void this.#serve(req, res);
+			this.#receive(req, res);
+		});
+		this.#server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
+			this.#handleClientError(err, socket);
 		});
 		this.setLimits(initialLimits);
 	}
@@ -78,6 +91,9 @@
 	/** Closes each connection after its next response, which announces this to the client. */
 	closeAfterNextResponse(): void {
 		this.#phase = 'closing';
+		for (const pipeline of this.#pipelines.values()) {
+			pipeline.stop();
+		}
 	}
 
 	/** Refuses new requests, because too little time is left to serve them, and closes idle connections. */
@@ -86,18 +102,73 @@
 		this.#server.closeIdleConnections();
 	}
 
-	async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+	#receive(req: IncomingMessage, res: ServerResponse): void {
+		const {socket} = req;
+		const pipeline = this.#pipelineOf(socket);
+		const exchange = pipeline.add();
+		if (exchange === undefined) {
+			return;
+		}
+
+		res.once('close', () => {
+			pipeline.end(exchange);
+			if (pipeline.isAbandoned) {
+				socket.destroySoon();
+			}
+		});
+		void this.#serve({
+			req, res, pipeline, exchange,
+		});
+	}
+
+	#pipelineOf(socket: Socket): RequestPipeline {
+		let pipeline = this.#pipelines.get(socket);
+		if (pipeline === undefined) {
+			const created = new RequestPipeline();
+			if (this.#phase !== 'serving') {
+				created.stop();
+			}
+
+			this.#pipelines.set(socket, created);
+			socket.once('close', () => {
+				created.abandon();
+				this.#pipelines.delete(socket);
+			});
+			pipeline = created;
+		}
+
+		return pipeline;
+	}
+
+	/** Answers bytes that are no request, unless responses to requests before them are outstanding: it would be taken for the first of these. */
+	#handleClientError(err: NodeJS.ErrnoException, socket: Duplex): void {
+		const pipeline = this.#pipelines.get(socket);
+		if (socket.writable && pipeline !== undefined && pipeline.size > 0) {
+			pipeline.stopReading();
+			return;
+		}
+
+		if (socket.writable) {
+			const status = statusOfParseError(err.code);
+			socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+		}
+
+		socket.destroy();
+	}
+
+	async #serve(served: ServedRequest): Promise<void> {
+		const {req, res, pipeline, exchange} = served;
 		const {clock, dialect, proxy, logger} = this.#options;
 		const arrivedMs = clock.nowMs();
 		const disconnect = disconnectSignal(req, res);
 		try {
 			if (this.#phase === 'refusing') {
-				this.#sendErrorStatus(req, res, {kind: 'not_run', reason: 'stopping', retryAfterMs: 0});
+				this.#sendErrorStatus(served, {kind: 'not_run', reason: 'stopping', retryAfterMs: 0});
 				return;
 			}
 
 			if (headBytes(req) > this.#limits.maxHeaderBytes) {
-				this.#sendResponse(req, res, {status: 431, headers: []});
+				this.#sendResponse(served, {status: 431, headers: []});
 				return;
 			}
 
@@ -108,66 +179,42 @@
 				target: req.url!,
 				headers: req.rawHeaders,
 				arrivedMs,
-				readBody: async maxBytes => this.#readBody(req, maxBytes),
+				readBody: async maxBytes => readRequestBody(req, maxBytes, this.#limits.maxBodyBytes),
+				waitForTurn: async maxAhead => pipeline.turn(exchange, maxAhead),
 				disconnect,
 			});
+			if (pipeline.isLeftOut(exchange)) {
+				return;
+			}
+
 			if (outcome.kind === 'answer') {
-				await this.#sendInstanceResponse(req, res, outcome);
+				await this.#sendInstanceResponse(served, outcome);
 			} else {
-				this.#sendErrorStatus(req, res, outcome);
+				this.#sendErrorStatus(served, outcome);
 			}
 		} catch (err) {
 			logger.error('handling a request failed; the client receives status 502 or a closed connection', {err: err instanceof Error ? err.stack ?? err.message : String(err)});
 			if (res.headersSent) {
 				res.destroy();
 			} else {
-				this.#sendResponse(req, res, {status: 502, headers: []});
-			}
-		}
-	}
-
-	async #readBody(req: IncomingMessage, maxBufferedBytes: number): ReturnType<ProxyRequest['readBody']> {
-		const length = req.headers['content-length'];
-		if (length === undefined && req.headers['transfer-encoding'] === undefined) {
-			return {kind: 'none'};
-		}
-
-		const {maxBodyBytes} = this.#limits;
-		if (Number(length ?? 0) > maxBodyBytes) {
-			return {kind: 'too_large'};
-		}
-
-		const source = req[Symbol.asyncIterator]() as AsyncIterator<Uint8Array, unknown>;
-		const chunks: Uint8Array[] = [];
-		let size = 0;
-		try {
-			while (size <= maxBufferedBytes) {
-				const next = await source.next();
-				if (next.done === true) {
-					return {kind: 'whole', bytes: Buffer.concat(chunks)};
-				}
-
-				chunks.push(next.value);
-				size += next.value.byteLength;
+				this.#sendResponse(served, {status: 502, headers: []});
 			}
-		} catch {
-			return {kind: 'broken'};
 		}
-
-		return {kind: 'stream', source: streamBody(chunks, source, maxBodyBytes)};
 	}
 
-	async #sendInstanceResponse(req: IncomingMessage, res: ServerResponse, {result}: AnswerOutcome): Promise<void> {
+	async #sendInstanceResponse(served: ServedRequest, {result}: AnswerOutcome): Promise<void> {
+		const {req, res, pipeline} = served;
 		const headers = endToEndHeaders(result.headers, droppedResponseHeaders);
 		const hasNoBody = req.method === 'HEAD' || result.status === 204 || result.status === 304;
 		if (result.framing === 'connection' && !hasNoBody) {
 			// Such a response may be truncated, so it is forwarded without a length, and its end is marked by closing the connection.
 			res.useChunkedEncodingByDefault = false;
 			res.shouldKeepAlive = false;
+			pipeline.stop();
 		}
 
 		if (result.kind === 'whole' && result.framing === 'connection' && !hasNoBody) {
-			this.#prepareResponse(req, res);
+			this.#prepareResponse(served);
 			res.writeHead(result.status, headers);
 			res.end(result.body);
 			return;
@@ -175,11 +222,11 @@
 
 		if (result.kind === 'whole') {
 			const response = hasNoBody ? {headers: withContentLength(headers, result.headers)} : {headers, body: result.body};
-			this.#sendResponse(req, res, {status: result.status, ...response});
+			this.#sendResponse(served, {status: result.status, ...response});
 			return;
 		}
 
-		this.#prepareResponse(req, res);
+		this.#prepareResponse(served);
 		res.writeHead(result.status, withContentLength(headers, result.headers));
 		res.write(result.start);
 		try {
@@ -196,35 +243,42 @@
 		}
 	}
 
-	#sendErrorStatus(req: IncomingMessage, res: ServerResponse, outcome: Exclude<ProxyOutcome, AnswerOutcome>): void {
+	#sendErrorStatus(served: ServedRequest, outcome: Exclude<ProxyOutcome, AnswerOutcome>): void {
 		switch (outcome.kind) {
 			case 'not_run': {
-				this.#sendResponse(req, res, {status: 503, headers: ['Retry-After', (outcome.retryAfterMs / 1000).toFixed(2)]});
+				this.#sendResponse(served, {status: 503, headers: ['Retry-After', (outcome.retryAfterMs / 1000).toFixed(2)]});
 				break;
 			}
 
 			case 'unknown': {
-				this.#sendResponse(req, res, {status: outcome.reason === 'timeout' ? 504 : 502, headers: []});
+				this.#sendResponse(served, {status: outcome.reason === 'timeout' ? 504 : 502, headers: []});
 				break;
 			}
 
 			case 'invalid': {
-				this.#sendResponse(req, res, {status: statusOfInvalid(outcome.reason), headers: []});
+				this.#sendResponse(served, {status: statusOfInvalid(outcome.reason), headers: []});
 				break;
 			}
 		}
 	}
 
-	#sendResponse(req: IncomingMessage, res: ServerResponse, {status, headers, body}: PlainResponse): void {
-		this.#prepareResponse(req, res);
+	#sendResponse(served: ServedRequest, {status, headers, body}: PlainResponse): void {
+		const {res} = served;
+		this.#prepareResponse(served);
 		const length = body === undefined && rawHeader(headers, 'content-length') !== undefined ? [] : ['Content-Length', String(body?.byteLength ?? 0)];
 		res.writeHead(status, status === 204 || status === 304 ? [...headers] : [...headers, ...length]);
 		res.end(body);
 	}
 
-	#prepareResponse(req: IncomingMessage, res: ServerResponse): void {
+	#prepareResponse({
+		req, res, pipeline, exchange,
+	}: ServedRequest): void {
 		res.sendDate = false;
-		if (this.#phase !== 'serving' || !req.complete) {
+		if (!req.complete) {
+			pipeline.stop();
+		}
+
+		if (pipeline.isLast(exchange)) {
 			res.shouldKeepAlive = false;
 		}
 	}
@@ -240,23 +294,6 @@
 	return size;
 }
 
-async function * streamBody(chunks: readonly Uint8Array[], source: AsyncIterator<Uint8Array, unknown>, maxBytes: number): AsyncIterable<Uint8Array> {
-	let size = 0;
-	for (const chunk of chunks) {
-		size += chunk.byteLength;
-		yield chunk;
-	}
-
-	for (let next = await source.next(); next.done !== true; next = await source.next()) {
-		size += next.value.byteLength;
-		if (size > maxBytes) {
-			throw new Error(`request body exceeds the limit of ${maxBytes} bytes`);
-		}
-
-		yield next.value;
-	}
-}
-
 /** Adds the `Content-Length` header of the instance's response, if it has one. */
 function withContentLength(headers: readonly string[], instanceHeaders: readonly string[]): string[] {
 	const length = rawHeader(instanceHeaders, 'content-length');
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -58,6 +58,8 @@
 
 /** Request bodies up to this size are buffered, so that they can be sent again. */
 const maxBufferedBodyBytes = 65_536;
+/** Number of requests of one connection that are sent on at the same time. */
+const maxPipelined = 16;
 const notReadyRetryAfterMs = 500;
 /** Base of the time after which a client should retry, by the reason why its request did not run. */
 const baseRetryAfterMs = {
@@ -152,6 +154,11 @@
 			return {kind: 'invalid', reason: 'no_request_id'};
 		}
 
+		// A request behind a response that closes the connection is sent again by the client, so that one that must not be repeated waits until there is none ahead.
+		if (!await req.waitForTurn(route.isRepeatable ? maxPipelined - 1 : 0)) {
+			return {kind: 'unknown', reason: 'cancelled'};
+		}
+
 		const body = await req.readBody(maxBufferedBodyBytes);
 		if (body.kind === 'too_large') {
 			return {kind: 'invalid', reason: 'body_too_large'};
--- a/stand-ins/platform-instance-stand-in.ts
+++ b/stand-ins/platform-instance-stand-in.ts
@@ -14,6 +14,8 @@
 	behaviours: Behaviour[] = ['answer'];
 	/** Time that a request runs, in milliseconds. */
 	runMs = 0;
+	/** Times of single requests, by target; other requests run for `runMs`. */
+	readonly runMsByTarget = new Map<string, number>();
 	/** Whether all responses state that the instance is leaving. */
 	isLeaving = false;
 	/** `Retry-After` of the responses of behaviour `pause`, in seconds. */
@@ -59,7 +61,7 @@
 			}
 		});
 		await new Promise(resolve => {
-			setTimeout(resolve, this.runMs);
+			setTimeout(resolve, this.runMsByTarget.get(req.url!) ?? this.runMs);
 		});
 		this.#finish(behaviour, requestId, req, res);
 	}
--- a/test/steering-daemon.test.ts
+++ b/test/steering-daemon.test.ts
@@ -3,79 +3,20 @@
 import {
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
-import {openEndpoints} from '../platform/endpoints.js';
-import {httpDialect} from '../platform/http-dialect.js';
-import {KvStore} from '../platform/kv-store.js';
-import {readSettings} from '../platform/settings.js';
-import {steeringItemCodec} from '../platform/steering-item-codec.js';
 import {OperatorClient} from '../src/cli/operator-client.js';
-import {type Kernel} from '../src/kernel/kernel.js';
-import {createSteeringDaemon} from '../src/steering-daemon.js';
 import {collectBody} from '../stand-ins/collect-body.js';
 import {KvStoreStandIn} from '../stand-ins/kv-store-stand-in.js';
 import {platformDocuments} from '../stand-ins/platform-documents.js';
 import {PlatformInstanceStandIn} from '../stand-ins/platform-instance-stand-in.js';
 import {nextLoopbackAddress} from './next-loopback-address.js';
+import {startSteeringDaemon} from './start-steering-daemon.js';
 
-type Daemon = {readonly kernel: Kernel; readonly host: string; readonly close: () => Promise<void>};
+type Daemon = Awaited<ReturnType<typeof startSteeringDaemon>>;
 type ClientResponse = {readonly status: number; readonly headers: IncomingHttpHeaders; readonly text: string};
 
 const clientsPort = 8381;
 let nextRequest = 0;
 
-function settingsText(host: string, store: string): string {
-	return `
-[host]
-id = "edge-${host.replaceAll('.', '-')}"
-region = "dsm"
-zone = "dsm-a"
-[zones]
-dsm-a = "dsm"
-aru-a = "aru"
-[listen]
-clients = "${host}:${clientsPort}"
-readiness = "${host}:8388"
-directory = "${host}:8383"
-peers = "${host}:7200"
-metrics = "${host}:7201"
-[store]
-address = "${store}"
-timeoutMs = 300
-[bounds]
-grace_s = 2
-retry_slack = 120
-cold_multiplier = 1.5
-cold_tolerance = 5
-unknown_bound = true
-[log]
-level = "error"
-`;
-}
-
-async function startDaemon(store: string): Promise<Daemon> {
-	const host = nextLoopbackAddress();
-	const settings = readSettings('boot.toml', settingsText(host, store));
-	if (!settings.success) {
-		throw new Error(JSON.stringify(settings.error));
-	}
-
-	const kernel = createSteeringDaemon({
-		settings: settings.data, platform: {openStore: options => new KvStore(options), itemCodec: steeringItemCodec, dialect: httpDialect},
-	});
-	const started = await kernel.start();
-	if (!started.success) {
-		throw new Error(started.error.message);
-	}
-
-	const closeEndpoints = await openEndpoints(kernel, settings.data.listen);
-	return {
-		kernel, host, async close() {
-			closeEndpoints();
-			await kernel.stop();
-		},
-	};
-}
-
 const {route, configuration, instance: instanceEntry} = platformDocuments;
 
 async function until(isMet: () => boolean | Promise<boolean>): Promise<void> {
@@ -135,7 +76,7 @@
 		store.write('op/config', configuration(3, [
 			route('read', '/read/'), route('write', '/write/', {route_type: 'non_idempotent'}), route('slow', '/slow/', {timeout_ms: 250}),
 		]));
-		daemon = await startDaemon(storeAddress);
+		daemon = await startSteeringDaemon(storeAddress);
 	});
 
 	afterEach(async () => {
@@ -473,7 +414,7 @@
 
 	describe('several hosts', () => {
 		it('discover each other, exchange updates while the store is unavailable, and are returned by lookups until they stop', async () => {
-			const other = await startDaemon(storeAddress);
+			const other = await startSteeringDaemon(storeAddress);
 			const resolvesHostCount = async (count: number) => {
 				const res = await fetch(`http://${daemon.host}:8383/-/resolve?name=shop.example&region=dsm&zone=dsm-a`);
 				const {addresses: hosts} = await res.json() as {addresses: string[]};
