The end of a request whose first send failed is always logged

On call, explain could not tell how a request ended whose first send failed and whose second was answered in time: the end was logged for one in 64. The lines about requests are written by RequestLog, which logs each such end.

--- a/src/cli/request-history.ts
+++ b/src/cli/request-history.ts
@@ -17,6 +17,7 @@
 	not_ready: 'the host had no configuration yet',
 	no_upstream: 'no instance accepted requests; see "instance missing" and "zone evacuated" in the seconds before',
 	busy: 'its deadline would have passed while it waited, or it would have delayed more urgent requests; see "load of the region"',
+	paused: 'all instances of its service had asked this host for a pause',
 	shed: 'the instances that it was sent to refused it, and the route allowed no further attempt',
 	retry_budget: 'an instance refused it and the host had used up its share of the retry budget',
 	timeout: 'its deadline expired',
--- a/src/services/logger.ts
+++ b/src/services/logger.ts
@@ -5,8 +5,8 @@
 import {LogRateLimiter} from '../decisions/log-rate-limiter.js';
 import {BoundedOutput} from './bounded-output.js';
 
-/** Rate limit for log lines about single requests, applied to each message separately. */
-const requestLineLimits = {linesPerSecond: 20, burstLines: 60};
+/** Rate limit for frequent log lines, applied to each message separately. */
+const frequentLineLimits = {linesPerSecond: 20, burstLines: 60};
 
 /** Limit of bytes that are buffered while standard output is not read. */
 const maxBufferedBytes = 1_048_576;
@@ -17,7 +17,7 @@
 export class Logger {
 	readonly #inner: winston.Logger;
 	readonly #output: BoundedOutput;
-	readonly #rateLimiter = new LogRateLimiter(requestLineLimits);
+	readonly #rateLimiter = new LogRateLimiter(frequentLineLimits);
 
 	/** Creates a logger whose lines all contain `fields`. */
 	constructor(level: string, fields: Readonly<Record<string, string>>) {
@@ -52,11 +52,11 @@
 		this.#inner.info(message, fields);
 	}
 
-	/** Logs a line about one request. Lines above the message's rate limit are dropped and counted in its next line (`leftOut`). */
-	request(message: string, fields: Readonly<Record<string, unknown>>): void {
+	/** Logs a line that may be frequent, such as one about a single request. Lines above the message's rate limit are dropped and counted in its next line (`leftOut`). */
+	limited(message: string, fields: Readonly<Record<string, unknown>>, level: 'info' | 'warn' = 'info'): void {
 		const leftOut = this.#rateLimiter.admit(message, performance.now());
 		if (leftOut !== undefined) {
-			this.#inner.info(message, leftOut === 0 ? fields : {...fields, leftOut});
+			this.#inner.log(level, message, leftOut === 0 ? fields : {...fields, leftOut});
 		}
 	}
 
--- a/src/services/notice-recorder.ts
+++ b/src/services/notice-recorder.ts
@@ -34,7 +34,7 @@
 		if (info.pauseMs !== undefined) {
 			instances.notices.recordPause(instance, info.pauseMs, clock.nowMs());
 			metrics.count('instance_pauses', {service: instance.service});
-			logger.request('an instance asked for a pause', {instance: instance.id, service: instance.service, pauseMs: Math.round(info.pauseMs)});
+			logger.limited('an instance asked for a pause', {instance: instance.id, service: instance.service, pauseMs: Math.round(info.pauseMs)});
 		}
 	}
 
--- a/src/services/proxy-outcome.ts
+++ b/src/services/proxy-outcome.ts
@@ -9,6 +9,8 @@
 		readonly instanceId: string;
 		/** Wait for a slot that was expected when the request was sent. */
 		readonly expectedWaitMs: number;
+		/** Number of sends before that brought no answer. */
+		readonly failedSends: number;
 	}
 	/** The request did not run and will not run later. */
 	| {readonly kind: 'not_run'; readonly reason: 'not_ready' | 'no_upstream' | 'busy' | 'paused' | 'shed' | 'retry_budget' | 'timeout' | 'quarantined' | 'stopping'; readonly retryAfterMs: number}
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -4,7 +4,6 @@
 import {type Route} from '../contracts/route.js';
 import {type InstanceTable} from '../decisions/instance-table.js';
 import {type Placement} from '../decisions/placement.js';
-import {hashText} from '../decisions/hash-text.js';
 import {type RetryShare} from '../decisions/retry-share.js';
 import {type SeededRandom} from '../decisions/seeded-random.js';
 import {RequestAttempts} from '../decisions/request-attempts.js';
@@ -17,6 +16,7 @@
 import {type ProxyOutcome} from './proxy-outcome.js';
 import {type ProxyRequest} from './proxy-request.js';
 import {type QuarantineService} from './quarantine-service.js';
+import {RequestLog} from './request-log.js';
 import {type AttemptObserver} from './attempt-observer.js';
 import {type SteeringService} from './steering-service.js';
 
@@ -69,16 +69,16 @@
 /** Up to this share of the time is added at random, so that clients do not retry all at once. */
 const retryJitterShare = 0.5;
 const quarantinedRetryAfterMs = 60_000;
-/** One in this many requests that are answered in time is logged. */
-const requestsPerLogSample = 64;
 
 /** Forwards clients' requests for published routes to instances, retries them within bounds, and returns their outcomes. */
 export class ProxyService {
 	readonly #options: ProxyOptions;
+	readonly #requestLog: RequestLog;
 	#inFlight = 0;
 
 	constructor(options: ProxyOptions) {
 		this.#options = options;
+		this.#requestLog = new RequestLog(options.logger);
 	}
 
 	/** Number of requests without an outcome yet. */
@@ -99,8 +99,8 @@
 			const reason = 'reason' in outcome ? outcome.reason : '';
 			metrics.count('proxied_requests', {outcome: outcome.kind, reason});
 			metrics.observe('proxied_seconds', {outcome: outcome.kind}, tookMs);
-			this.#logOutcome({
-				req, route, outcome, tookMs: Math.round(tookMs),
+			this.#requestLog.logEnd({
+				requestId: req.requestId, route, outcome, tookMs,
 			});
 			return outcome;
 		} finally {
@@ -108,27 +108,6 @@
 		}
 	}
 
-	/** Logs each request with no response or a late one, and a sample of the others. The sample is chosen by request id, so it is the same on every host. */
-	#logOutcome({req, route, outcome, tookMs}: {readonly req: ProxyRequest; readonly route: Route | undefined; readonly outcome: ProxyOutcome; readonly tookMs: number}): void {
-		const {logger} = this.#options;
-		const fields = {
-			request: req.requestId, route: route?.name, priority: route?.priority, targetMs: route?.targetMs, tookMs,
-		};
-		if (outcome.kind !== 'answer') {
-			logger.request('request ended without an answer of an instance', {...fields, outcome: outcome.kind, reason: outcome.reason});
-			return;
-		}
-
-		const responseFields = {
-			...fields, status: outcome.result.status, instance: outcome.instanceId, expectedWaitMs: Math.round(outcome.expectedWaitMs),
-		};
-		if (route !== undefined && tookMs > route.targetMs) {
-			logger.request('request answered late', responseFields);
-		} else if (hashText(req.requestId ?? '') % requestsPerLogSample === 0) {
-			logger.request('request answered', responseFields);
-		}
-	}
-
 	#matchRoute(req: ProxyRequest): Route | undefined {
 		const [path] = req.target.split('?', 1);
 		return this.#options.steering.match(req.host, path!);
@@ -231,7 +210,7 @@
 			if (lastResult.kind === 'whole' || lastResult.kind === 'partial') {
 				attempts.recordResult('answered');
 				return {
-					kind: 'answer', result: lastResult, instanceId: choice.entry.instance.id, expectedWaitMs: choice.waitMs,
+					kind: 'answer', result: lastResult, instanceId: choice.entry.instance.id, expectedWaitMs: choice.waitMs, failedSends: triedInstanceIds.size - 1,
 				};
 			}
 
@@ -258,7 +237,7 @@
 	}
 
 	async #send(context: RequestContext, entry: InstanceEntry, expectedWaitMs: number): Promise<InstanceResult> {
-		const {clock, client, observer, notices, logger} = this.#options;
+		const {clock, client, observer, notices} = this.#options;
 		const {req, route, body, service, deadlineMs} = context;
 		const {id, address} = entry.instance;
 		const remainingMs = Math.max(1, deadlineMs - clock.nowMs());
@@ -279,18 +258,11 @@
 			},
 			disconnect: req.disconnect,
 		});
-		const tookMs = Math.round(recordEnd(result));
+		const tookMs = recordEnd(result);
 		this.#updateCrashReports(context, id, result);
 		if (result.kind !== 'whole' && result.kind !== 'partial') {
-			logger.request('a send brought no answer', {
-				request: req.requestId,
-				instance: id,
-				address,
-				isRepeat: context.attempts.isRetry,
-				remainingMs: Math.round(remainingMs),
-				result: result.kind,
-				detail: 'detail' in result ? result.detail : '',
-				tookMs,
+			this.#requestLog.logFailedSend({
+				requestId: req.requestId, instance: entry.instance, isRetry: context.attempts.isRetry, remainingMs, result, tookMs,
 			});
 		}
 
--- /dev/null
+++ b/src/services/request-log.ts
@@ -0,0 +1,69 @@
+import {type InstanceResult} from '../contracts/instance-result.js';
+import {type LiveInstance} from '../contracts/live-instance.js';
+import {type Route} from '../contracts/route.js';
+import {hashText} from '../decisions/hash-text.js';
+import {type Logger} from './logger.js';
+import {type ProxyOutcome} from './proxy-outcome.js';
+
+type EndedRequest = {readonly requestId: string | undefined; readonly route: Route | undefined; readonly outcome: ProxyOutcome; readonly tookMs: number};
+
+type FailedSend = {
+	readonly requestId: string | undefined;
+	readonly instance: LiveInstance;
+	/** Whether the request had reached an instance before. */
+	readonly isRetry: boolean;
+	/** Time that was left for the request when it was sent, in milliseconds. */
+	readonly remainingMs: number;
+	readonly result: InstanceResult;
+	readonly tookMs: number;
+};
+
+/** One in this many requests that are answered in time by the first instance is logged. */
+const requestsPerSample = 64;
+
+/** Writes the log lines about single requests, from which the end and the cause of each failed or late one can be read. */
+export class RequestLog {
+	readonly #logger: Pick<Logger, 'limited'>;
+
+	constructor(logger: Pick<Logger, 'limited'>) {
+		this.#logger = logger;
+	}
+
+	/**
+	 * Logs each request with no response, a late one or one after a failed send, and a sample of the others. The sample is chosen by request
+	 * id, so it is the same on every host.
+	 */
+	logEnd({requestId, route, outcome, tookMs}: EndedRequest): void {
+		const fields = {
+			request: requestId, route: route?.name, priority: route?.priority, targetMs: route?.targetMs, tookMs: Math.round(tookMs),
+		};
+		if (outcome.kind !== 'answer') {
+			this.#logger.limited('request ended without an answer of an instance', {...fields, outcome: outcome.kind, reason: outcome.reason});
+			return;
+		}
+
+		const responseFields = {
+			...fields, status: outcome.result.status, instance: outcome.instanceId, expectedWaitMs: Math.round(outcome.expectedWaitMs),
+		};
+		if (route !== undefined && tookMs > route.targetMs) {
+			this.#logger.limited('request answered late', responseFields);
+		} else if (outcome.failedSends > 0) {
+			this.#logger.limited('request answered after a failed send', responseFields);
+		} else if (hashText(requestId ?? '') % requestsPerSample === 0) {
+			this.#logger.limited('request answered', responseFields);
+		}
+	}
+
+	logFailedSend({requestId, instance, isRetry, remainingMs, result, tookMs}: FailedSend): void {
+		this.#logger.limited('a send brought no answer', {
+			request: requestId,
+			instance: instance.id,
+			address: instance.address,
+			isRepeat: isRetry,
+			remainingMs: Math.round(remainingMs),
+			result: result.kind,
+			detail: 'detail' in result ? result.detail : '',
+			tookMs: Math.round(tookMs),
+		});
+	}
+}
