--- a/src/services/steering-service.ts
+++ b/src/services/steering-service.ts
@@ -170,7 +170,7 @@
 		const decoded = itemCodec.decodeInstance(id, change.item.value);
 		if (!decoded.success) {
 			instances.remove(id, nowMs, nowMs);
-			logger.warn('an instance entry cannot be decoded; the instance is removed', {instance: id, revision: change.item.revision, err: decoded.error.message});
+			logger.limited('an instance entry cannot be decoded; the instance is removed', {instance: id, revision: change.item.revision, err: decoded.error.message}, 'warn');
 			return;
 		}
 
@@ -208,7 +208,7 @@
 			this.#hosts.set(id, decoded.data);
 			this.#hostsByRegion = countByRegion(this.#hosts.values());
 		} else {
-			logger.warn('a host entry cannot be decoded; it is ignored', {entry: id, err: decoded.error.message});
+			logger.limited('a host entry cannot be decoded; it is ignored', {entry: id, err: decoded.error.message}, 'warn');
 		}
 	}
 }
--- a/stand-ins/platform-instance-stand-in.ts
+++ b/stand-ins/platform-instance-stand-in.ts
@@ -16,6 +16,10 @@
 	runMs = 0;
 	/** Times of single requests, by target; other requests run for `runMs`. */
 	readonly runMsByTarget = new Map<string, number>();
+	/** Id of the instance; a request that expects another one is misdirected. Not checked while `undefined`. */
+	expectedId: string | undefined;
+	/** Bytes to respond with instead of a response, with `ID` for the id of the request. */
+	rawResponse: string | undefined;
 	/** Whether all responses state that the instance is leaving. */
 	isLeaving = false;
 	/** `Retry-After` of the responses of behaviour `pause`, in seconds. */
@@ -42,6 +46,16 @@
 			res.setHeader('Server-Leaving', '1');
 		}
 
+		if (this.rawResponse !== undefined) {
+			req.socket.write(this.rawResponse.replace('ID', requestId), 'latin1');
+			return;
+		}
+
+		if (this.expectedId !== undefined && req.headers['x-expected-instance'] !== this.expectedId) {
+			res.writeHead(421, {'X-Instance-Id': this.expectedId}).end();
+			return;
+		}
+
 		if (behaviour === 'pause') {
 			res.writeHead(503, {'X-Not-Executed': '1', 'X-Request-Id': requestId, 'Retry-After': this.pauseSeconds}).end();
 			return;
--- a/test/steering-daemon.test.ts
+++ b/test/steering-daemon.test.ts
@@ -10,6 +10,7 @@
 import {PlatformInstanceStandIn} from '../stand-ins/platform-instance-stand-in.js';
 import {nextLoopbackAddress} from './next-loopback-address.js';
 import {startSteeringDaemon} from './start-steering-daemon.js';
+import {until} from './until.js';
 
 type Daemon = Awaited<ReturnType<typeof startSteeringDaemon>>;
 type ClientResponse = {readonly status: number; readonly headers: IncomingHttpHeaders; readonly text: string};
@@ -19,19 +20,6 @@
 
 const {route, configuration, instance: instanceEntry} = platformDocuments;
 
-async function until(isMet: () => boolean | Promise<boolean>): Promise<void> {
-	const endMs = performance.now() + 8000;
-	while (!await isMet()) {
-		if (performance.now() > endMs) {
-			throw new Error('condition not met within 8 s');
-		}
-
-		await new Promise(resolve => {
-			setTimeout(resolve, 20);
-		});
-	}
-}
-
 /** Sends bytes on a new connection; returns what was received until the peer closed it or sent nothing for `silenceMs`. */
 async function exchange(host: string, bytes: string, silenceMs = 400): Promise<string> {
 	return new Promise(resolve => {
