A planned stop refuses what it cannot bring to an end

What operators saw: in a planned stop of one machine requests that came late in the grace were passed on and cut at its end. Here requests are refused from half of the grace time, or 3 s, on; before that each was passed on, however long it runs: a run of 800 ms usual time was sent on with 1.6 s left, and one of several seconds would have been cut. Now a request is refused as not run, with a time of 0 to come back, unless it is expected to be over by the end even if the instance is cold for its object (three times the usual run, and the wait).

--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -6,6 +6,7 @@
 import {type Placement} from '../decisions/placement.js';
 import {type RetryShare} from '../decisions/retry-share.js';
 import {type SeededRandom} from '../decisions/seeded-random.js';
+import {isOverBefore} from '../decisions/is-over-before.js';
 import {RequestAttempts} from '../decisions/request-attempts.js';
 import {fingerprintOf} from './fingerprint-of.js';
 import {type Logger} from './logger.js';
@@ -63,7 +64,7 @@
 const notReadyRetryAfterMs = 500;
 /** Base of the time after which a client should retry, by the reason why its request did not run. */
 const baseRetryAfterMs = {
-	timeout: 250, shed: 250, no_upstream: 500, retry_budget: 250, busy: 50,
+	timeout: 250, shed: 250, no_upstream: 500, retry_budget: 250, busy: 50, stopping: 0,
 } as const;
 const maxBaseRetryAfterMs = 2000;
 /** Up to this share of the time is added at random, so that clients do not retry all at once. */
@@ -75,6 +76,8 @@
 	readonly #options: ProxyOptions;
 	readonly #requestLog: RequestLog;
 	#inFlight = 0;
+	/** End of a planned stop, in monotonic milliseconds. */
+	#finishByMs = Number.POSITIVE_INFINITY;
 
 	constructor(options: ProxyOptions) {
 		this.#options = options;
@@ -86,6 +89,11 @@
 		return this.#inFlight;
 	}
 
+	/** Refuses from now on the requests that are not expected to end before `endMs`, the end of a planned stop in monotonic milliseconds. */
+	finishBy(endMs: number): void {
+		this.#finishByMs = endMs;
+	}
+
 	/** Handles one request, and records its outcome in metrics and the log. */
 	async handle(req: ProxyRequest): Promise<ProxyOutcome> {
 		const {metrics, clock, turns} = this.#options;
@@ -175,7 +183,7 @@
 
 	/** Sends the request until an instance responds or no further attempt is allowed. */
 	async #sendUntilAnswered(context: RequestContext): Promise<ProxyOutcome> {
-		const {clock, retries, countHosts} = this.#options;
+		const {clock, retries, countHosts, observer} = this.#options;
 		const {req, attempts, service, deadlineMs, triedInstanceIds} = context;
 		let lastResult: InstanceResult | undefined;
 		for (;;) {
@@ -201,6 +209,12 @@
 				return this.#outcomeWithoutResponse(attempts, lastResult, 'busy', choice.excessMs);
 			}
 
+			if (!isOverBefore({
+				startMs: nowMs, waitMs: choice.waitMs, usualRunMs: observer.runMs(service, context.route), endMs: this.#finishByMs,
+			})) {
+				return this.#outcomeWithoutResponse(attempts, lastResult, 'stopping');
+			}
+
 			if (attempts.isRetry && !retries.take(service, countHosts(), nowMs)) {
 				return this.#outcomeWithoutResponse(attempts, lastResult, 'retry_budget');
 			}
--- a/src/services/stop-service.ts
+++ b/src/services/stop-service.ts
@@ -9,7 +9,8 @@
 	readonly members: MembersService;
 	/** Returns the number of requests in flight at this host. */
 	readonly countRequestsInFlight: () => number;
-	readonly onBegin?: () => void;
+	/** Called at the begin with the end of the grace time, in monotonic milliseconds. */
+	readonly onBegin?: (endMs: number) => void;
 	/** Called once all cached lookup responses that contain this host have expired. */
 	readonly onLookupsExpired?: () => void;
 	/** Timeout of a planned stop. */
@@ -47,7 +48,7 @@
 		const startMs = clock.nowMs();
 		logger.info('planned stop begins', {requestsInFlight: countRequestsInFlight()});
 		members.run(members.membership.setLeaving(true));
-		onBegin?.();
+		onBegin?.(startMs + graceMs);
 		await this.#waitUntil(startMs + lookupTtlMs, startMs + graceMs);
 		const requestsCut = countRequestsInFlight();
 		members.run(members.membership.leave());
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -322,7 +322,8 @@
 					logger: get('logger'),
 					members: get('members'),
 					countRequestsInFlight: () => proxy.inFlight,
-					onBegin() {
+					onBegin(endMs) {
+						proxy.finishBy(endMs);
 						ingress.closeAfterNextResponse();
 					},
 					onLookupsExpired() {
--- a/test/malformed-messages.test.ts
+++ b/test/malformed-messages.test.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import {createSocket} from 'node:dgram';
+import {createSocket, type Socket} from 'node:dgram';
 import {request as httpRequest} from 'node:http';
 import {connect} from 'node:net';
 import fc from 'fast-check';
@@ -74,6 +74,14 @@
 		});
 	}
 
+	async function sendDatagram(socket: Socket, datagram: Uint8Array): Promise<void> {
+		return new Promise(resolve => {
+			socket.send(datagram, ports.peers, daemon.host, () => {
+				resolve();
+			});
+		});
+	}
+
 	let nextRequest = 0;
 	const statusOf = async (path: string) => {
 		nextRequest++;
@@ -136,9 +144,7 @@
 		});
 		const socket = createSocket('udp4');
 		for (const datagram of [...datagrams, ...altered, Buffer.from('what')]) {
-			await new Promise(resolve => {
-				socket.send(datagram, ports.peers, daemon.host, resolve);
-			});
+			await sendDatagram(socket, datagram);
 		}
 
 		socket.close();
