An error that nothing caught no longer ends a daemon

What operators saw: an unexpected error took a whole process down, and with it all requests that it held.

--- a/src/bin/cowslipspard.ts
+++ b/src/bin/cowslipspard.ts
@@ -6,10 +6,12 @@
 import {formatIssue} from '../config/format-issue.js';
 import {parseToml} from '../config/parse-toml.js';
 import {createDaemon} from '../daemon.js';
+import {guardProcess} from '../services/guard-process.js';
 
 const exitInvalidSettings = 2;
 const exitStartFailed = 3;
 const exitRequestsCut = 4;
+const exitErrorsRecur = 5;
 const logLevels = ['error', 'warn', 'info', 'debug'];
 
 const cli = meow(`
@@ -25,6 +27,7 @@
 	  2  invalid settings; no service was started
 	  3  a service failed to start
 	  4  planned stop, but requests were cut off at the end of the grace time
+	  5  errors that nothing caught recurred within seconds
 
 	Examples
 	  $ cowslipspard --config /etc/cowslipspard.toml
@@ -62,6 +65,11 @@
 }
 
 const logger = kernel.get('logger');
+guardProcess({
+	process, clock: kernel.get('clock'), logger, metrics: kernel.get('metrics'), onRecurring() {
+		process.exit(exitErrorsRecur);
+	},
+});
 logger.info('daemon started', {region: settings.host.region, zone: settings.host.zone, callers: settings.listen.callers});
 
 async function stop(): Promise<void> {
--- a/src/services/logger.ts
+++ b/src/services/logger.ts
@@ -53,7 +53,7 @@
 	}
 
 	/** Logs a line that may be frequent, such as one about a single request. Lines above the message's rate limit are dropped and counted in its next line (`leftOut`). */
-	limited(message: string, fields: Readonly<Record<string, unknown>>, level: 'info' | 'warn' = 'info'): void {
+	limited(message: string, fields: Readonly<Record<string, unknown>>, level: 'info' | 'warn' | 'error' = 'info'): void {
 		const leftOut = this.#rateLimiter.admit(message, performance.now());
 		if (leftOut !== undefined) {
 			this.#inner.log(level, message, leftOut === 0 ? fields : {...fields, leftOut});
