Test of a 421 exercises its case; one loop monitor for both daemons; uncalled code removed

The test of instances that refuse gave the behaviour to one of two instances and passed also when the other one got the request. It now looks where the object's requests go first. Stand-ins repeat the request's id on a 421, as the platform's pages say of all responses: without it, and on a connection in use again, a refusal is no proof. The product's daemon measures the loop's delay with LoopMonitor, as loop_delay_seconds, instead of two gauges of its own. RefusalCache.remove and Quarantine.all had no caller.

--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -1,5 +1,4 @@
 import {randomBytes} from 'node:crypto';
-import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {ConsulStore} from './adapters/consul-store.js';
 import {HttpUpstream} from './adapters/http-upstream.js';
 import {monotonicClock} from './adapters/monotonic-clock.js';
@@ -20,6 +19,7 @@
 import {HomeService} from './services/home-service.js';
 import {serveHttp} from './services/http-service.js';
 import {Logger} from './services/logger.js';
+import {LoopMonitor} from './services/loop-monitor.js';
 import {LookupService} from './services/lookup-service.js';
 import {MembersService} from './services/members-service.js';
 import {Metrics} from './services/metrics.js';
@@ -40,9 +40,6 @@
 const ticksPerPeriod = 10;
 /** Interval at which idle connections are closed. */
 const sweepMs = 5000;
-/** Sampling interval of the event loop monitor; subtracted from the measured delays, which include it. */
-const loopResolutionMs = 10;
-const nanosecondsPerSecond = 1_000_000_000;
 /** Time for which a token accepts new keys. */
 const tokenOpenMs = 600_000;
 /** Time after `tokenOpenMs` for which outcomes are still replayed. */
@@ -71,17 +68,12 @@
 		.add({name: 'settings', requires: [], start: () => settings})
 		.add({name: 'clock', requires: [], start: () => monotonicClock})
 		.add({name: 'logger', requires: [], start: () => new Logger(logLevel, {host: self.id, boot: self.boot})})
+		.add({name: 'metrics', requires: [], start: () => new Metrics()})
 		.add({
-			name: 'metrics', requires: [], start({lifecycle}) {
-				const metrics = new Metrics();
-				const delay = monitorEventLoopDelay({resolution: loopResolutionMs});
-				delay.enable();
-				lifecycle.addCleanup('event loop delay', () => {
-					delay.disable();
-				});
-				metrics.gauge('loop_delay_p99_seconds', () => Math.max(0, (delay.percentile(99) / nanosecondsPerSecond) - (loopResolutionMs / 1000)));
-				metrics.gauge('loop_delay_max_seconds', () => Math.max(0, (delay.max / nanosecondsPerSecond) - (loopResolutionMs / 1000)));
-				return metrics;
+			name: 'loopMonitor', requires: ['clock', 'logger', 'metrics'], start({get, lifecycle}) {
+				const monitor = new LoopMonitor({clock: get('clock'), logger: get('logger'), metrics: get('metrics')});
+				monitor.start(lifecycle);
+				return monitor;
 			},
 		})
 		.add({
--- a/src/decisions/quarantine.ts
+++ b/src/decisions/quarantine.ts
@@ -64,9 +64,4 @@
 	blocked(nowMs: number): readonly CrashReports[] {
 		return [...this.#reports.values()].filter(reports => this.isBlocked(reports.fingerprint, nowMs));
 	}
-
-	/** Returns the crash reports of all requests. */
-	all(): readonly CrashReports[] {
-		return [...this.#reports.values()];
-	}
 }
--- a/src/decisions/refusal-cache.ts
+++ b/src/decisions/refusal-cache.ts
@@ -24,11 +24,6 @@
 		this.#waits.set(key, {waitMs, untilMs: nowMs + Math.min(maxRetentionMs, waitMs * retentionWaitShare)});
 	}
 
-	/** Removes the refusal of a key, for example after the owner accepted a request. */
-	remove(key: string): void {
-		this.#waits.delete(key);
-	}
-
 	/** Returns the cached expected wait in milliseconds if it exceeds a request's remaining time, else `undefined`. */
 	excessiveWaitMs(key: string, remainingMs: number, nowMs: number): number | undefined {
 		const cached = this.#waits.get(key);
--- a/stand-ins/platform-instance-stand-in.ts
+++ b/stand-ins/platform-instance-stand-in.ts
@@ -52,7 +52,7 @@
 		}
 
 		if (this.expectedId !== undefined && req.headers['x-expected-instance'] !== this.expectedId) {
-			res.writeHead(421, {'X-Instance-Id': this.expectedId}).end();
+			res.writeHead(421, {'X-Instance-Id': this.expectedId, 'X-Request-Id': requestId}).end();
 			return;
 		}
 
@@ -62,7 +62,7 @@
 		}
 
 		if (behaviour === 'shed' || behaviour === 'misdirect') {
-			res.writeHead(behaviour === 'shed' ? 503 : 421, behaviour === 'shed' ? {'X-Not-Executed': '1', 'X-Request-Id': requestId} : {}).end();
+			res.writeHead(behaviour === 'shed' ? 503 : 421, {'X-Request-Id': requestId, ...(behaviour === 'shed' && {'X-Not-Executed': '1'})}).end();
 			return;
 		}
 
--- a/test/steering-daemon.test.ts
+++ b/test/steering-daemon.test.ts
@@ -141,20 +141,18 @@
 			}
 		};
 
-		it('that report that a request did not run cause an attempt at another instance', async () => {
-			for (const behaviour of ['shed', 'misdirect'] as const) {
-				setBehaviour('answer');
-				const first = firstInstance();
-				first.behaviours = [behaviour, 'answer'];
-				expect(await request('/write/', {method: 'POST', body: 'b', headers: {'x-affinity-key': `${behaviour}`}})).toMatchObject({status: 200});
-			}
+		it.each(['shed', 'misdirect'] as const)('that %s a request, so that it did not run, cause an attempt at another instance', async behaviour => {
+			const post = async () => request('/write/', {method: 'POST', body: 'b', headers: {'x-affinity-key': behaviour}});
+			await post();
+			const [assigned, other] = instances.toSorted((a, b) => b.executedRequests.length - a.executedRequests.length) as [PlatformInstanceStandIn, PlatformInstanceStandIn];
+			expect(assigned.executedRequests).toHaveLength(1);
+			assigned.behaviours = [behaviour, 'answer'];
+			expect(await post()).toMatchObject({status: 200});
+			expect(assigned.behaviours).toEqual(['answer']);
+			expect(assigned.executedRequests).toHaveLength(1);
+			expect(other.executedRequests).toHaveLength(1);
 		});
 
-		/** Returns the first instance. An object may be assigned to either instance, so its request need not be sent to this one first. */
-		function firstInstance(): PlatformInstanceStandIn {
-			return instances[0]!;
-		}
-
 		it('that all shed result in status 503 with a retry time, and nothing runs', async () => {
 			setBehaviour('shed');
 			const response = await request('/write/', {method: 'POST', body: 'b'});
