--- a/src/services/guard-process.test.ts
+++ b/src/services/guard-process.test.ts
@@ -4,7 +4,10 @@
 function setUp() {
 	const state = {nowMs: 0, lines: 0, ends: 0};
 	const listeners = new Map<string, (err: unknown) => void>();
-	const emit = (event: string, err: unknown) => listeners.get(event)!(err);
+	const emit = (event: string, err: unknown) => {
+		listeners.get(event)!(err);
+	};
+
 	guardProcess({
 		process: {on: (event, listener) => listeners.set(event, listener)},
 		clock: {nowMs: () => state.nowMs},
--- a/tools/platform-faults.ts
+++ b/tools/platform-faults.ts
@@ -5,7 +5,7 @@
 import {type PlatformFleet} from './platform-fleet.js';
 import {runFaults} from './run-faults.js';
 
-type FaultName = 'kill' | 'kill-all' | 'freeze' | 'stop' | 'store-fault' | 'lost-answers' | 'compaction' | 'configuration' | 'crash' | 'drain' | 'evacuation' | 'misbehaviour';
+type FaultName = 'kill' | 'kill-all' | 'freeze' | 'stop' | 'store-fault' | 'lost-answers' | 'compaction' | 'configuration' | 'crash' | 'drain' | 'leaving' | 'evacuation' | 'misbehaviour';
 
 type FaultsOptions = {
 	readonly fleet: PlatformFleet;
@@ -17,9 +17,9 @@
 
 type Instance = PlatformFleet['instances'][number];
 
-const names: readonly FaultName[] = ['kill', 'kill-all', 'freeze', 'stop', 'store-fault', 'lost-answers', 'compaction', 'configuration', 'crash', 'drain', 'evacuation', 'misbehaviour'];
+const names: readonly FaultName[] = ['kill', 'kill-all', 'freeze', 'stop', 'store-fault', 'lost-answers', 'compaction', 'configuration', 'crash', 'drain', 'leaving', 'evacuation', 'misbehaviour'];
 const storeModes = ['silent', 'busy', 'many', 'reset'] as const;
-const misbehaviours = ['shed', 'misdirect', 'crash', 'silent', 'fail', 'unsigned', 'wrong-id'] as const;
+const misbehaviours = ['shed', 'pause', 'misdirect', 'crash', 'silent', 'fail', 'unsigned', 'wrong-id'] as const;
 /** Number of hosts, and of instances, that may be out of service at the same time. */
 const maxOutOfService = 2;
 const shortestGapMs = 300;
@@ -30,6 +30,8 @@
 const leaseExpiryMs = 1000;
 /** Time within which every host must have received the update that an instance drains. */
 const drainNoticeMs = 2500;
+/** Requests that each host may still send to an instance that said that it leaves, before the host has an answer from it. */
+const requestsPerUninformedHost = 2;
 
 /** Injects seeded random faults into a fleet that runs against stand-ins of the platform; several may overlap. */
 export class PlatformFaults {
@@ -38,6 +40,8 @@
 	unexpectedExits = 0;
 	/** Number of requests that an instance ran after the time within which every host must treat it as draining. */
 	requestsAfterDrain = 0;
+	/** Number of requests that instances ran after they had stated to every host that they leave. */
+	requestsAfterLeaving = 0;
 	readonly #options: FaultsOptions;
 	readonly #outOfService = new Set<string>();
 	#version = 1;
@@ -121,6 +125,10 @@
 				return this.#injectIntoOne(fleet.instances, async instance => this.#drain(instance, faultMs));
 			}
 
+			case 'leaving': {
+				return this.#injectIntoOne(fleet.instances, async instance => this.#leave(instance, faultMs));
+			}
+
 			case 'misbehaviour': {
 				return this.#injectIntoOne(fleet.instances, async ({standIn}) => {
 					standIn.behaviours = [random.sample(misbehaviours, 1)[0]!];
@@ -219,6 +227,20 @@
 		writeState('ready');
 	}
 
+	/** Lets an instance state in its responses alone that it leaves, while the store lists it as ready; later starts a new one at its address. */
+	async #leave(instance: Instance, faultMs: number): Promise<void> {
+		const {fleet} = this.#options;
+		const {standIn} = instance;
+		standIn.isLeaving = true;
+		await delay(drainNoticeMs);
+		const ranBefore = standIn.executedRequests.length;
+		await delay(faultMs);
+		this.requestsAfterLeaving += Math.max(0, standIn.executedRequests.length - ranBefore - (requestsPerUninformedHost * fleet.hosts.length));
+		await fleet.crash(instance, leaseExpiryMs);
+		standIn.isLeaving = false;
+		await fleet.restart(instance);
+	}
+
 	#countUnexpectedExits(): void {
 		const {fleet} = this.#options;
 		this.unexpectedExits += fleet.hosts.filter(({id}) => !this.#outOfService.has(id) && !fleet.daemon(id).isRunning).length;
--- a/tools/soak-platform.ts
+++ b/tools/soak-platform.ts
@@ -61,6 +61,7 @@
 			...platformViolations(fleet, refused),
 			wrongAnswers: rows.reduce((sum, row) => sum + row.wrong, 0),
 			newWorkAfterDrain: faults.requestsAfterDrain,
+			newWorkAfterLeaving: faults.requestsAfterLeaving,
 			configReverts: watch.reverts,
 			hostsBehind: statuses.filter(status => status?.revision !== faults.version).length,
 			unexpectedExits: faults.unexpectedExits,
