Services of the request path name what they use of others

ProxyService, PlannerService, SteeringService, AttemptObserver and NoticeRecorder took whole classes as options, so that nothing but the daemon could run them. They now name the members that they call. Types only; the bundle is the same.

--- a/src/services/attempt-observer.ts
+++ b/src/services/attempt-observer.ts
@@ -8,8 +8,8 @@
 
 type AttemptObserverOptions = {
 	readonly clock: Clock;
-	readonly metrics: Metrics;
-	readonly planner: PlannerService;
+	readonly metrics: Pick<Metrics, 'observe'>;
+	readonly planner: Pick<PlannerService, 'slownessEstimator' | 'recordResponseTime' | 'recordRun'>;
 	/** Region of this host. */
 	readonly region: string;
 };
--- a/src/services/notice-recorder.ts
+++ b/src/services/notice-recorder.ts
@@ -7,8 +7,8 @@
 
 type NoticeRecorderOptions = {
 	readonly clock: Clock;
-	readonly logger: Logger;
-	readonly metrics: Metrics;
+	readonly logger: Pick<Logger, 'info' | 'limited'>;
+	readonly metrics: Pick<Metrics, 'count'>;
 	readonly instances: InstanceTable;
 };
 
--- a/src/services/planner-service.ts
+++ b/src/services/planner-service.ts
@@ -12,18 +12,25 @@
 import {type MembersService} from './members-service.js';
 import {type Metrics} from './metrics.js';
 import {type NoticeRecorder} from './notice-recorder.js';
-import {type PeerClient} from './peer-client.js';
 import {type SteeringService} from './steering-service.js';
 
+/** Calls to the planners of other hosts. */
+type PlannerPeers = {
+	readonly steering: (address: string) => {
+		readonly report: {readonly mutate: (report: PlacementReport) => Promise<unknown>};
+		readonly regionLoad: {readonly mutate: (message: {readonly load: RegionLoad; readonly isRelayed: boolean}) => Promise<unknown>};
+	};
+};
+
 type PlannerOptions = {
 	readonly clock: Clock;
-	readonly logger: Logger;
-	readonly metrics: Metrics;
-	readonly members: MembersService;
-	readonly peerClient: PeerClient;
+	readonly logger: Pick<Logger, 'info' | 'debug'>;
+	readonly metrics: Pick<Metrics, 'gauge'>;
+	readonly members: Pick<MembersService, 'ownerOf' | 'isSelf'> & {readonly membership: Pick<MembersService['membership'], 'self' | 'otherRegions' | 'hostsOf'>};
+	readonly peerClient: PlannerPeers;
 	readonly instances: InstanceTable;
-	readonly steering: SteeringService;
-	readonly notices: NoticeRecorder;
+	readonly steering: Pick<SteeringService, 'priorities' | 'hostsByRegion'>;
+	readonly notices: Pick<NoticeRecorder, 'recordLeaving'>;
 };
 
 type Reservation = {readonly priority: number; readonly instanceIds: ReadonlySet<string>};
@@ -75,7 +82,7 @@
 		return this.#reservations.get(service);
 	}
 
-	start(lifecycle: Lifecycle): void {
+	start(lifecycle: Pick<Lifecycle, 'every'>): void {
 		lifecycle.every('placement', tickMs, () => {
 			this.#tick();
 		});
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -23,17 +23,17 @@
 
 type ProxyOptions = {
 	readonly clock: Clock;
-	readonly logger: Logger;
-	readonly metrics: Metrics;
-	readonly steering: SteeringService;
+	readonly logger: Pick<Logger, 'limited'>;
+	readonly metrics: Pick<Metrics, 'count' | 'observe'>;
+	readonly steering: Pick<SteeringService, 'routes' | 'match' | 'nextServiceOf'>;
 	readonly placement: Placement;
-	readonly client: InstanceClient;
+	readonly client: Pick<InstanceClient, 'send'>;
 	readonly retries: RetryShare;
-	readonly quarantine: QuarantineService;
-	readonly planner: PlannerService;
-	readonly turns: LoopTurns;
+	readonly quarantine: Pick<QuarantineService, 'isBlocked' | 'reportCrash' | 'clearAfterResponse'>;
+	readonly planner: Pick<PlannerService, 'recordRequest'>;
+	readonly turns: Pick<LoopTurns, 'next'>;
 	readonly observer: AttemptObserver;
-	readonly notices: NoticeRecorder;
+	readonly notices: Pick<NoticeRecorder, 'recordHead'>;
 	readonly random: SeededRandom;
 	/** Returns the number of hosts that may be sending to the same services. */
 	readonly countHosts: () => number;
--- a/src/services/steering-service.ts
+++ b/src/services/steering-service.ts
@@ -14,9 +14,9 @@
 
 type SteeringOptions = {
 	readonly clock: Clock;
-	readonly logger: Logger;
-	readonly metrics: Metrics;
-	readonly replica: ReplicaService;
+	readonly logger: Pick<Logger, 'info' | 'warn' | 'error' | 'limited'>;
+	readonly metrics: Pick<Metrics, 'gauge'>;
+	readonly replica: Pick<ReplicaService, 'onChange'>;
 	readonly itemCodec: SteeringItemCodec;
 	readonly instances: InstanceTable;
 };
@@ -65,7 +65,7 @@
 		return this.#hostsByRegion;
 	}
 
-	start(lifecycle: Lifecycle): void {
+	start(lifecycle: Pick<Lifecycle, 'every'>): void {
 		const {replica, instances, clock, metrics} = this.#options;
 		replica.onChange((changes, source) => {
 			this.#applyChanges(changes, source);
