--- a/tools/measure.ts
+++ b/tools/measure.ts
@@ -4,6 +4,7 @@
 import {measureConfig} from './measure-config.js';
 import {measureFlood} from './measure-flood.js';
 import {measureMembers} from './measure-members.js';
+import {measurePlacement} from './measure-placement.js';
 import {measurePath} from './measure-path.js';
 import {measureShift} from './measure-shift.js';
 import {measureStop} from './measure-stop.js';
@@ -18,6 +19,7 @@
 	'urgent-flood': async () => measureFlood('mostUrgent'),
 	shift: async () => measureShift('overload'),
 	'region-loss': async () => measureShift('loss'),
+	placement: async () => measurePlacement({file: cli.flags.scenario, seed: cli.flags.seed, svg: cli.flags.svg}),
 };
 
 const cli = meow(`
@@ -26,7 +28,19 @@
 
 	Measurements
 	  ${Object.keys(measurements).join(', ')}
-`, {importMeta: import.meta});
+
+	Options of placement
+	  --scenario  file of the load; default: examples/placement/small-region.toml
+	  --seed      seed of the play; default: 1
+	  --svg       file for a chart of what callers got by second
+`, {
+	importMeta: import.meta,
+	flags: {
+		scenario: {type: 'string', default: 'examples/placement/small-region.toml'},
+		seed: {type: 'number', default: 1},
+		svg: {type: 'string'},
+	},
+});
 
 const [name = ''] = cli.input;
 const measurement = Object.hasOwn(measurements, name) ? measurements[name] : undefined;
