The most urgent objects, too, start where slots are to spare if the own region has very few

Cause: objects of the most urgent priority always started at home, whatever room home has, and look-ups are the most urgent that the service has. Moving them later takes 6 s of stay and the cap on shifts.

Change: the rule for where other objects start holds for the most urgent, too, but they stay at home up to twice (others 1.3 times) what the slots are due to the hosts, since they come before the others there. Regions with an even share, or half of one, start as before.

The new test of that load fails before.

--- a/src/decisions/initial-region.ts
+++ b/src/decisions/initial-region.ts
@@ -3,8 +3,12 @@
 /** Capacity of a region for one service: slots that accept requests, and entry hosts. Both are known before any load is. */
 type RegionCapacity = {readonly region: string; readonly slots: number; readonly hosts: number};
 
-/** Load that a region keeps, as a multiple of its share of the slots, before objects start in other regions. */
+/**
+ * Load that a region keeps, as a multiple of its share of the slots, before objects start in other regions. The most urgent requests
+ * come before the others there, so that more of them stay.
+ */
 const localLoadFactor = 1.3;
+const urgentLocalLoadFactor = 2;
 /** Number of values of a hash of 32 bits. */
 const hashRange = 4_294_967_296;
 
@@ -13,7 +17,7 @@
  * share of hosts stands for the expected load: a region with many hosts and few slots assigns some of its objects to regions
  * with spare slots. The result is the same at every host and after a restart.
  */
-export function initialRegion(objectKey: string, ownRegion: string, capacities: readonly RegionCapacity[]): string {
+export function initialRegion(objectKey: string, ownRegion: string, capacities: readonly RegionCapacity[], isMostUrgent: boolean): string {
 	const slots = capacities.reduce((sum, capacity) => sum + capacity.slots, 0);
 	const hosts = capacities.reduce((sum, capacity) => sum + capacity.hosts, 0);
 	const ownCapacity = capacities.find(capacity => capacity.region === ownRegion);
@@ -23,7 +27,7 @@
 
 	const spareShareOf = (capacity: RegionCapacity) => Math.max(0, (capacity.slots / slots) - (capacity.hosts / hosts));
 	const others = capacities.filter(capacity => spareShareOf(capacity) > 0).toSorted((a, b) => (a.region < b.region ? -1 : 1));
-	const localShare = localLoadFactor * (ownCapacity.slots / slots) / (ownCapacity.hosts / hosts);
+	const localShare = (isMostUrgent ? urgentLocalLoadFactor : localLoadFactor) * (ownCapacity.slots / slots) / (ownCapacity.hosts / hosts);
 	const position = hashText(`${objectKey}|region`) / hashRange;
 	if (position < localShare || others.length === 0) {
 		return ownRegion;
--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -337,10 +337,10 @@
 		return preferredInstance(usage, candidates, object);
 	}
 
-	/** Returns the region in which an object is placed first; the own region for the most urgent requests. */
+	/** Returns the region in which an object is placed first. */
 	#initialRegion({service, priority, objectKey}: PlannedObject): string {
 		const isUrgent = isMostUrgent(priority, this.#priorities.get(service) ?? []);
-		return isUrgent ? this.#region : initialRegion(objectKey, this.#region, this.#regionCapacities.get(service) ?? []);
+		return initialRegion(objectKey, this.#region, this.#regionCapacities.get(service) ?? [], isUrgent);
 	}
 
 	/** Moves an object to an instance in another region if the cap on cross-region shifts allows it; otherwise the object stays for now. */
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -152,15 +152,15 @@
 		return this.#first(inInitialRegion, req, nowMs) ?? this.#first(intended, req, nowMs) ?? this.#first(local, req, nowMs) ?? this.#first(remote, req, nowMs);
 	}
 
-	/** Returns the initial region of the object of a request; the own region for the most urgent requests and for those without an object. */
+	/** Returns the initial region of the object of a request; the own region for a request without an object. */
 	#initialRegion({service, objectKey, priority}: PlacementRequest): string {
 		const {table, region, hostsByRegion, prioritiesOf} = this.#options;
-		if (objectKey === undefined || isMostUrgent(priority, prioritiesOf(service))) {
+		if (objectKey === undefined) {
 			return region;
 		}
 
 		const instances = table.serving(service).map(entry => ({region: entry.region, slots: entry.instance.slots}));
-		return initialRegion(objectKey, region, regionCapacities(instances, hostsByRegion()));
+		return initialRegion(objectKey, region, regionCapacities(instances, hostsByRegion()), isMostUrgent(priority, prioritiesOf(service)));
 	}
 
 	/**
--- a/src/decisions/sending.test.ts
+++ b/src/decisions/sending.test.ts
@@ -284,6 +284,19 @@
 		expect([...others].some(id => id?.startsWith('b'))).toBe(true);
 	});
 
+	it('starts some objects of the most urgent requests in another region if the own one has very few of the slots', () => {
+		const {table, choose} = setUp(undefined, false, new Map([['a', 4], ['b', 4]]), [0, 2]);
+		for (const [id, zone] of [['a0', 'a-1'], ['a1', 'a-1'], ...Array.from({length: 18}, (_, index): [string, string] => [`b${index}`, 'b-1'])] as const) {
+			table.write(instance(id, {zone}), 0);
+		}
+
+		const keys = Array.from({length: 200}, (_, index) => `k${index}`);
+		const remoteShare = (priority: number) => keys.filter(key => choose(key, {priority})?.startsWith('b')).length / keys.length;
+		expect(remoteShare(0)).toBeGreaterThan(0.5);
+		expect(remoteShare(0)).toBeLessThan(0.7);
+		expect(remoteShare(2)).toBeGreaterThan(remoteShare(0));
+	});
+
 	it('sends to a cold instance only as its designated sender, and within the rate limit', () => {
 		const {table, choose} = setUp();
 		table.write(instance('i1', {coldMs: 3000}), 0);
