--- a/test/malformed-messages.test.ts
+++ b/test/malformed-messages.test.ts
@@ -7,17 +7,14 @@
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import {gossipWire} from '../src/services/gossip-wire.js';
-import {KvStoreStandIn} from '../stand-ins/kv-store-stand-in.js';
 import {platformDocuments} from '../stand-ins/platform-documents.js';
-import {PlatformInstanceStandIn} from '../stand-ins/platform-instance-stand-in.js';
-import {nextLoopbackAddress} from './next-loopback-address.js';
-import {startSteeringDaemon} from './start-steering-daemon.js';
+import {startSmallPlatform} from './start-small-platform.js';
 import {until} from './until.js';
 
 const ports = {
 	clients: 8381, readiness: 8388, directory: 8383, peers: 7200, metrics: 7201,
 } as const;
-const {route, configuration, instance: instanceEntry} = platformDocuments;
+const {route, configuration} = platformDocuments;
 
 /** A message that is malformed in one way, as bytes after the opening of a connection. */
 const messages: ReadonlyArray<readonly [name: string, text: string]> = [
@@ -34,28 +31,18 @@
 ];
 
 describe('a daemon stays in service', () => {
-	let store: KvStoreStandIn;
-	let instance: PlatformInstanceStandIn;
-	let instanceAddress: string;
-	let daemon: Awaited<ReturnType<typeof startSteeringDaemon>>;
+	let platform: Awaited<ReturnType<typeof startSmallPlatform>>;
+	let store: typeof platform.store;
+	let instance: typeof platform.instance;
+	let daemon: typeof platform.daemon;
 
 	beforeEach(async () => {
-		store = new KvStoreStandIn();
-		const storeHost = nextLoopbackAddress();
-		await store.listen(storeHost, 8384);
-		instance = new PlatformInstanceStandIn();
-		const instanceHost = nextLoopbackAddress();
-		await instance.listen(instanceHost, 8080);
-		instanceAddress = `${instanceHost}:8080`;
-		store.write('servers/i-0', instanceEntry(instanceAddress));
-		store.write('op/config', configuration(3, [route('read', '/read/')]));
-		daemon = await startSteeringDaemon(`${storeHost}:8384`);
+		platform = await startSmallPlatform({routes: [route('read', '/read/')]});
+		({store, instance, daemon} = platform);
 	});
 
 	afterEach(async () => {
-		await daemon.close();
-		await instance.close();
-		await store.close();
+		await platform.close();
 	});
 
 	async function send(port: number, text: string): Promise<void> {
@@ -194,7 +181,7 @@
 	});
 
 	it('when an entry has the address of another one, and serves what that one refuses', async () => {
-		store.write('servers/odd', {...good, address: instanceAddress});
+		store.write('servers/odd', {...good, address: platform.instanceAddress});
 		await until(() => daemon.kernel.get('instances').size === 2);
 		await expectFollowsStore(4);
 		instance.expectedId = 'i-0';
--- a/test/pipelined-clients.test.ts
+++ b/test/pipelined-clients.test.ts
@@ -2,16 +2,13 @@
 import {
 	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
-import {KvStoreStandIn} from '../stand-ins/kv-store-stand-in.js';
 import {platformDocuments} from '../stand-ins/platform-documents.js';
-import {PlatformInstanceStandIn} from '../stand-ins/platform-instance-stand-in.js';
-import {nextLoopbackAddress} from './next-loopback-address.js';
-import {startSteeringDaemon} from './start-steering-daemon.js';
+import {startSmallPlatform} from './start-small-platform.js';
 
 type RawClient = {readonly socket: Socket; readonly received: () => string; readonly closed: Promise<void>};
 
 const clientsPort = 8381;
-const {route, configuration, instance: instanceEntry, nonRepeatable} = platformDocuments;
+const {route, nonRepeatable} = platformDocuments;
 
 async function pauseMs(ms: number): Promise<void> {
 	await new Promise(resolve => {
@@ -20,21 +17,14 @@
 }
 
 describe('clients that send requests behind one another', () => {
-	let store: KvStoreStandIn;
-	let instance: PlatformInstanceStandIn;
-	let daemon: Awaited<ReturnType<typeof startSteeringDaemon>>;
+	let platform: Awaited<ReturnType<typeof startSmallPlatform>>;
+	let instance: typeof platform.instance;
+	let daemon: typeof platform.daemon;
 	let clients: RawClient[];
 
 	beforeEach(async () => {
-		store = new KvStoreStandIn();
-		const storeHost = nextLoopbackAddress();
-		await store.listen(storeHost, 8384);
-		instance = new PlatformInstanceStandIn();
-		const instanceHost = nextLoopbackAddress();
-		await instance.listen(instanceHost, 8080);
-		store.write('servers/i-0', instanceEntry(`${instanceHost}:8080`));
-		store.write('op/config', configuration(3, [route('read', '/read/', {timeout_ms: 4000}), route('write', '/write/', nonRepeatable)]));
-		daemon = await startSteeringDaemon(`${storeHost}:8384`);
+		platform = await startSmallPlatform({routes: [route('read', '/read/', {timeout_ms: 4000}), route('write', '/write/', nonRepeatable)]});
+		({instance, daemon} = platform);
 		clients = [];
 	});
 
@@ -43,9 +33,7 @@
 			socket.destroy();
 		}
 
-		await daemon.close();
-		await instance.close();
-		await store.close();
+		await platform.close();
 	});
 
 	async function openClient(): Promise<RawClient> {
--- a/test/planned-stop.test.ts
+++ b/test/planned-stop.test.ts
@@ -2,11 +2,8 @@
 import {
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
-import {KvStoreStandIn} from '../stand-ins/kv-store-stand-in.js';
 import {platformDocuments} from '../stand-ins/platform-documents.js';
-import {PlatformInstanceStandIn} from '../stand-ins/platform-instance-stand-in.js';
-import {nextLoopbackAddress} from './next-loopback-address.js';
-import {startSteeringDaemon} from './start-steering-daemon.js';
+import {startSmallPlatform} from './start-small-platform.js';
 import {until} from './until.js';
 
 type Ending = {readonly id: string; readonly status: number | undefined; readonly isComplete: boolean; readonly heldMs: number};
@@ -15,7 +12,7 @@
 const graceSeconds = 2;
 /** Time from the last byte of a request to the end of its connection from which an unanswered request counts as cut off. */
 const crossingMs = 200;
-const {route, configuration, instance: instanceEntry, nonRepeatable} = platformDocuments;
+const {route, nonRepeatable} = platformDocuments;
 
 async function pauseMs(ms: number): Promise<void> {
 	await new Promise(resolve => {
@@ -24,28 +21,21 @@
 }
 
 describe('a planned stop', () => {
-	let store: KvStoreStandIn;
-	let instance: PlatformInstanceStandIn;
-	let daemon: Awaited<ReturnType<typeof startSteeringDaemon>>;
+	let platform: Awaited<ReturnType<typeof startSmallPlatform>>;
+	let instance: typeof platform.instance;
 	let nextId = 0;
 
 	beforeEach(async () => {
-		store = new KvStoreStandIn();
-		const storeHost = nextLoopbackAddress();
-		await store.listen(storeHost, 8384);
-		instance = new PlatformInstanceStandIn();
-		const instanceHost = nextLoopbackAddress();
-		await instance.listen(instanceHost, 8080);
-		store.write('servers/i-0', instanceEntry(`${instanceHost}:8080`));
-		store.write('op/config', configuration(3, [
-			route('read', '/read/', {timeout_ms: 5000}), route('write', '/write/', {...nonRepeatable, timeout_ms: 5000}), route('long', '/long/', {...nonRepeatable, timeout_ms: 9000}),
-		]));
-		daemon = await startSteeringDaemon(`${storeHost}:8384`, {graceSeconds});
+		platform = await startSmallPlatform({
+			graceSeconds, routes: [
+				route('read', '/read/', {timeout_ms: 5000}), route('write', '/write/', {...nonRepeatable, timeout_ms: 5000}), route('long', '/long/', {...nonRepeatable, timeout_ms: 9000}),
+			],
+		});
+		({instance} = platform);
 	});
 
 	afterEach(async () => {
-		await instance.close();
-		await store.close();
+		await platform.close({isDaemonStopped: true});
 	});
 
 	/** Sends a request on a new connection; `undefined` if no connection was made. */
@@ -55,7 +45,7 @@
 		return new Promise(resolve => {
 			let text = '';
 			let sentMs: number | undefined;
-			const socket = connect(clientsPort, daemon.host, () => {
+			const socket = connect(clientsPort, platform.daemon.host, () => {
 				socket.write(`POST ${path} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: ${id}\r\nX-Deadline-Ms: 9000\r\nContent-Length: 1\r\n\r\nb`);
 				sentMs = performance.now();
 			});
@@ -77,9 +67,9 @@
 
 	/** Stops the daemon as a SIGTERM does. */
 	async function stop(): Promise<void> {
-		const stopping = daemon;
-		await stopping.kernel.get('stop').stop();
-		await stopping.close();
+		const {daemon} = platform;
+		await daemon.kernel.get('stop').stop();
+		await daemon.close();
 	}
 
 	const hasRun = ({id}: Ending) => instance.executedRequests.some(({requestId}) => requestId === id);
@@ -108,7 +98,7 @@
 		instance.runMsByTarget.set('/write/x', 100);
 		const connectionClosed = [send('/long/x'), send('/write/x')];
 		await until(() => instance.executedRequests.length === 2);
-		await until(() => daemon.kernel.get('proxy').inFlight === 0);
+		await until(() => platform.daemon.kernel.get('proxy').inFlight === 0);
 		const stopping = stop();
 		const [long, short] = await Promise.all([send('/long/x'), send('/write/x')]);
 		expect(long).toMatchObject({status: 503});
