No key is made for each instance at each request while there are no notices

Placement asks for the notices of every instance of a service at each request; with 300 instances each made two texts and two look-ups. The same answers, without them while no instance has said anything.

--- a/src/decisions/instance-notices.ts
+++ b/src/decisions/instance-notices.ts
@@ -32,12 +32,17 @@
 	}
 
 	isLeaving(process: InstanceProcess): boolean {
-		return this.#notices.get(keyOf(process))?.isLeaving ?? false;
+		return this.#find(process)?.isLeaving ?? false;
 	}
 
 	/** Returns the rest of a process's pause in milliseconds; 0 if there is none. */
 	pauseMs(process: InstanceProcess, nowMs: number): number {
-		return Math.max(0, (this.#notices.get(keyOf(process))?.pausedUntilMs ?? nowMs) - nowMs);
+		return Math.max(0, (this.#find(process)?.pausedUntilMs ?? nowMs) - nowMs);
+	}
+
+	/** Called for every instance of a service at each request; mostly there are no notices. */
+	#find(process: InstanceProcess): Notice | undefined {
+		return this.#notices.size === 0 ? undefined : this.#notices.get(keyOf(process));
 	}
 
 	#getOrAdd(process: InstanceProcess): Notice {
