--- a/src/services/attempt-observer.test.ts
+++ b/src/services/attempt-observer.test.ts
@@ -4,7 +4,6 @@
 import {SlownessEstimator} from '../decisions/slowness-estimator.js';
 import {InstanceTable} from '../decisions/instance-table.js';
 import {Metrics} from './metrics.js';
-import {type PlannerService} from './planner-service.js';
 import {AttemptObserver} from './attempt-observer.js';
 
 const route: Route = {
@@ -50,7 +49,7 @@
 		},
 	};
 	const observer = new AttemptObserver({
-		clock: {nowMs: () => nowMs}, metrics: new Metrics(), planner: planner as unknown as PlannerService, region: 'a',
+		clock: {nowMs: () => nowMs}, metrics: new Metrics(), planner, region: 'a',
 	});
 	const recordEnd = observer.recordStart({
 		service: 's', route: sentRoute, objectKey: 'k', entry: table.get('i')!, expectedWaitMs,
