--- a/review/lib/run-case.js
+++ b/review/lib/run-case.js
@@ -36,7 +36,8 @@
 
 		record(`exit ${code}`);
 		writeFileSync(fileURLToPath(new URL('record.txt', caseUrl)), `${lines.join('\n')}\n`);
-		process.exitCode = code;
+		// eslint-disable-next-line unicorn/no-process-exit -- what the play still waits for must not go on
+		process.exit(code);
 	};
 
 	for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
