A response that is broken off is logged with its reason, its framing and the client's version

Now one line and the metric responses_broken_off say so, also for a whole answer that could not be written; lines about answers name their framing. No decision is changed.

--- a/src/adapters/http-exchange.test.ts
+++ b/src/adapters/http-exchange.test.ts
@@ -71,4 +71,13 @@
 		expect(await exchange()).toMatchObject({kind: 'lost'});
 		expect(pool.size).toBe(0);
 	});
+
+	it('reports a response without a length as lost when its connection is reset right behind bytes that are not read yet', async () => {
+		respond = socket => {
+			socket.write('HTTP/1.1 200 OK\r\n\r\na part');
+			socket.resetAndDestroy();
+		};
+
+		expect(await exchange()).toMatchObject({kind: 'lost'});
+	});
 });
--- a/src/adapters/instance-client.ts
+++ b/src/adapters/instance-client.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {BrokenOffError} from '../contracts/broken-off-error.js';
 import {type Clock} from '../contracts/clock.js';
 import {type HttpDialect} from '../contracts/http-dialect.js';
 import {type InstanceCall} from '../contracts/instance-call.js';
@@ -197,23 +198,33 @@
 		}
 	}
 
-	/** Yields the rest of a streamed response; its connection is not reused. */
+	/** Yields the rest of a streamed response, or throws a `BrokenOffError`; its connection is not reused. */
 	async * #readRest({source, pool, conn, scope, framing}: StreamedResponse): AsyncIterable<Uint8Array> {
 		try {
 			for (let next = await source.next(); next.done !== true; next = await source.next()) {
 				yield next.value;
 			}
-
-			if (conn.hasFailed && framing === 'connection') {
-				throw new Error('the connection failed before the response was complete');
-			}
+		} catch (err) {
+			throw new BrokenOffError(reasonOf(scope), describeFailure(err).detail);
 		} finally {
 			scope.close();
 			pool.discard(conn);
 		}
+
+		if (conn.hasFailed && framing === 'connection') {
+			throw new BrokenOffError('lost', 'the connection failed before the response was complete');
+		}
 	}
 }
 
+function reasonOf(scope: AbortScope): BrokenOffError['reason'] {
+	if (scope.isOverdue) {
+		return 'overdue';
+	}
+
+	return scope.isCancelled ? 'cancelled' : 'lost';
+}
+
 function framingOf(headers: readonly string[]): 'length' | 'chunks' | 'connection' {
 	if (rawHeader(headers, 'transfer-encoding') !== undefined) {
 		return 'chunks';
--- a/src/contracts/instance-result.ts
+++ b/src/contracts/instance-result.ts
@@ -14,7 +14,7 @@
 export type InstanceResult =
 	/** A complete response. */
 	| (ResponseHead & {readonly kind: 'whole'; readonly body: Uint8Array; readonly framing: Framing})
-	/** The start of a long response; iterating `rest` throws if the response is truncated. */
+	/** The start of a long response; iterating `rest` throws a `BrokenOffError` if the response is truncated. */
 	| (ResponseHead & {readonly kind: 'partial'; readonly framing: Framing; readonly start: Uint8Array; readonly rest: AsyncIterable<Uint8Array>})
 	/** The instance states that it did not run the request. */
 	| (ResponseHead & {readonly kind: 'not_run'})
--- a/src/services/ingress-service.ts
+++ b/src/services/ingress-service.ts
@@ -5,6 +5,7 @@
 import {type Duplex} from 'node:stream';
 import {endToEndHeaders} from '../adapters/end-to-end-headers.js';
 import {rawHeader} from '../adapters/raw-header.js';
+import {BrokenOffError} from '../contracts/broken-off-error.js';
 import {type Clock} from '../contracts/clock.js';
 import {type HttpDialect} from '../contracts/http-dialect.js';
 import {type RouteTable} from '../contracts/route-table.js';
@@ -13,6 +14,7 @@
 import {disconnectSignal} from './disconnect-signal.js';
 import {listenAt} from './listen-at.js';
 import {type Logger} from './logger.js';
+import {type Metrics} from './metrics.js';
 import {type ProxyOutcome} from './proxy-outcome.js';
 import {type ProxyService} from './proxy-service.js';
 import {readRequestBody} from './read-request-body.js';
@@ -23,6 +25,7 @@
 	readonly address: string;
 	readonly clock: Clock;
 	readonly logger: Logger;
+	readonly metrics: Pick<Metrics, 'count'>;
 	readonly dialect: HttpDialect;
 	readonly proxy: ProxyService;
 };
@@ -58,7 +61,7 @@
 	readonly #server: Server;
 	readonly #pipelines = new Map<Duplex, RequestPipeline>();
 	#limits = initialLimits;
-	#phase: 'serving' | 'closing' | 'refusing' = 'serving';
+	#phase: 'serving' | 'closing' | 'refusing' | 'closed' = 'serving';
 
 	constructor(options: IngressOptions) {
 		this.#options = options;
@@ -77,6 +80,7 @@
 	async start(lifecycle: Lifecycle): Promise<void> {
 		await listenAt(this.#server, this.#options.address, maxWaitingConnections);
 		lifecycle.addCleanup('ingress', () => {
+			this.#phase = 'closed';
 			this.#server.close();
 			this.#server.closeAllConnections();
 		});
@@ -188,6 +192,11 @@
 			}
 
 			if (outcome.kind === 'answer') {
+				res.once('close', () => {
+					if (res.writableEnded && !res.writableFinished) {
+						this.#recordBrokenOff(served, outcome, 'cancelled', 'the connection closed before the response was written');
+					}
+				});
 				await this.#sendInstanceResponse(served, outcome);
 			} else {
 				this.#sendErrorStatus(served, outcome);
@@ -202,7 +211,8 @@
 		}
 	}
 
-	async #sendInstanceResponse(served: ServedRequest, {result}: AnswerOutcome): Promise<void> {
+	async #sendInstanceResponse(served: ServedRequest, outcome: AnswerOutcome): Promise<void> {
+		const {result} = outcome;
 		const {req, res, pipeline} = served;
 		const headers = endToEndHeaders(result.headers, droppedResponseHeaders);
 		const hasNoBody = req.method === 'HEAD' || result.status === 204 || result.status === 304;
@@ -238,11 +248,31 @@
 
 			res.end();
 		} catch (err) {
-			this.#options.logger.warn('forwarding the response of an instance failed after its start was sent; client connection closed', {request: req.headers['x-request-id'], err: String(err)});
-			res.destroy();
+			this.#breakOff(served, outcome, err);
 		}
 	}
 
+	/** Ends the connection of a client whose response cannot be completed. */
+	#breakOff(served: ServedRequest, outcome: AnswerOutcome, err: unknown): void {
+		this.#recordBrokenOff(served, outcome, err instanceof BrokenOffError ? err.reason : 'failed', String(err));
+		served.res.destroy();
+	}
+
+	#recordBrokenOff({req}: ServedRequest, {result, instanceId}: AnswerOutcome, cause: BrokenOffError['reason'] | 'failed', detail: string): void {
+		const {logger, metrics, dialect} = this.#options;
+		const reason = this.#phase === 'closed' ? 'stopped' : cause;
+		metrics.count('responses_broken_off', {reason, framing: result.framing});
+		logger.limited('a response was broken off after its start was sent', {
+			request: dialect.readRequest(req.headers).requestId,
+			instance: instanceId,
+			reason,
+			detail,
+			framing: result.framing,
+			clientVersion: req.httpVersion,
+			writtenBytes: req.socket.bytesWritten,
+		}, 'warn');
+	}
+
 	#sendErrorStatus(served: ServedRequest, outcome: Exclude<ProxyOutcome, AnswerOutcome>): void {
 		switch (outcome.kind) {
 			case 'not_run': {
@@ -323,7 +353,7 @@
 			res.off('drain', settle);
 			res.off('close', settle);
 			if (res.destroyed) {
-				reject(new Error('the client closed the connection'));
+				reject(new BrokenOffError('cancelled', 'the client closed the connection'));
 			} else {
 				resolve();
 			}
--- a/src/services/request-log.ts
+++ b/src/services/request-log.ts
@@ -43,7 +43,7 @@
 		}
 
 		const responseFields = {
-			...fields, status: outcome.result.status, instance: outcome.instanceId, expectedWaitMs: Math.round(outcome.expectedWaitMs),
+			...fields, status: outcome.result.status, framing: outcome.result.framing, instance: outcome.instanceId, expectedWaitMs: Math.round(outcome.expectedWaitMs),
 		};
 		if (route !== undefined && tookMs > route.targetMs) {
 			this.#logger.limited('request answered late', responseFields);
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -295,9 +295,9 @@
 			},
 		})
 		.add({
-			name: 'ingress', requires: ['clock', 'logger', 'proxy', 'steering'], async start({get, lifecycle}) {
+			name: 'ingress', requires: ['clock', 'logger', 'metrics', 'proxy', 'steering'], async start({get, lifecycle}) {
 				const ingress = new IngressService({
-					address: settings.listen.clients, clock: get('clock'), logger: get('logger'), dialect: platform.dialect, proxy: get('proxy'),
+					address: settings.listen.clients, clock: get('clock'), logger: get('logger'), metrics: get('metrics'), dialect: platform.dialect, proxy: get('proxy'),
 				});
 				get('steering').onRoutes(({limits}) => {
 					ingress.setLimits(limits);
