A reset behind unread bytes is not taken for the end of a response

Cause: libuv reports POLLHUP after a partial read as an end, so that a reset whose connection still holds unread bytes is an 'end' event in Node, not an error. That is the rule, not the exception, when the loop is late or a response is not read at once. The pool knew only errors. Evidence: a plain Node socket whose process is busy for 200 ms when 20,000 bytes and a reset arrive gets 'end', and 'error' ECONNRESET if it is not busy; blocking reads of the same connection end with ECONNRESET. In a daemon, 2,010 of 3,000 bytes arrived with an orderly end. Change: at the end of a connection its peer is looked up, which fails after a reset and not after an orderly close. No byte is sent for it. The product's exchanges use the same pool. Tests: two failed before, in instance-client.test.ts and http-exchange.test.ts; the daemon's stay listed, as they also play longer answers.

--- a/src/adapters/connection-pool.ts
+++ b/src/adapters/connection-pool.ts
@@ -1,5 +1,6 @@
 import {buildConnector, Client} from 'undici';
 import {type Clock} from '../contracts/clock.js';
+import {watchForFailure} from './watch-for-failure.js';
 
 /** A connection, which carries one exchange at a time. */
 type Connection = {
@@ -111,10 +112,13 @@
 			bodyTimeout: this.#options.exchangeLimitMs,
 			connect: (options, callback) => {
 				this.#connect(options, (...result) => {
-					result[1]?.on('error', err => {
-						// Only errors of system calls count: undici destroys sockets with errors of its own even when it closes them normally.
-						conn.hasFailed ||= 'syscall' in err;
-					});
+					const [err, socket] = result;
+					if (err === null) {
+						watchForFailure(socket, () => {
+							conn.hasFailed = true;
+						});
+					}
+
 					callback(...result);
 				});
 			},
