A reset while a response is not read fails the response, not an assertion

What callers saw: an answer without a length that stopped midway and was held until the route's timeout. Each such reset is an uncaught error of the daemon; 21 within 10 s end it, with all requests that it holds. Cause: undici takes ECONNRESET for the end of a response whose connection was to be closed, and asserts that its parser is not paused. It is paused while the body's buffer is full, that is whenever the client reads more slowly than the instance sends. Evidence: 66,000 bytes, then 70,000 to 130,000 that are not read, then a reset: an uncaught AssertionError each time, and the body ends at its deadline. With an orderly close nothing of the kind (40 sizes played). Change: such an error reaches undici with another code, so that it fails the response. Test: failed before.

--- a/src/adapters/watch-for-failure.ts
+++ b/src/adapters/watch-for-failure.ts
@@ -2,13 +2,19 @@
 
 /**
  * Calls `onFailure` when a connection fails, as opposed to being closed in an orderly way. Must be called before the HTTP client adds its
- * listeners, so that the failure is known when they end a response.
+ * listeners, because it changes what they are told.
  */
 export function watchForFailure(socket: Socket, onFailure: () => void): void {
-	socket.on('error', err => {
+	socket.on('error', (err: NodeJS.ErrnoException) => {
 		// Only errors of system calls count: undici destroys sockets with errors of its own even when it closes them normally.
-		if ('syscall' in err) {
-			onFailure();
+		if (err.syscall === undefined) {
+			return;
+		}
+
+		onFailure();
+		// With this code, undici takes the response for complete if its connection was to be closed, and fails an assertion if it is not reading.
+		if (err.code === 'ECONNRESET') {
+			err.code = 'ERR_CONNECTION_RESET';
 		}
 	});
 	socket.on('end', () => {
