No answer is ended by its connection alone: a length or chunks mark its end

What callers saw: status 200 with an instance's signature, no length, an orderly end, and a part of the body (MIXED), of any answer without a length and, to HTTP/1.0, of one in chunks, that was cut by the instance, the route's timeout, a planned stop or a kill of the daemon. Cause: such answers were passed on without a length, so that the close of the client's connection was both their end and what follows any failure. Change: a whole answer has a length; one that is streamed has its length or chunks; to HTTP/1.0 one without a length is held until it is whole (8 MB, 32 MB a host), else 502 or 504. The connection of the client can be used again, so requests behind such an answer are no longer left out. Weighed: no length, and a reset on failure. A socket option for it needs native code.

--- a/test/broken-off-answers.test.ts
+++ b/test/broken-off-answers.test.ts
@@ -181,6 +181,24 @@
 			}
 		});
 
+		it('and one that is too long to be held arrives whole or not at all', async () => {
+			for (const framing of framings) {
+				await replaceInstance();
+				const {exchange, whole} = request(version, {
+					framing, size: unreadableSize, continueWith(socket, rest) {
+						socket.write(rest, 'latin1');
+						if (framing.includes('onnection')) {
+							socket.end();
+						}
+					},
+				});
+				const {status, body, looksComplete} = await exchange.ended;
+				const isHeld = version === '1.0' && !framing.startsWith('a length');
+				expect({framing, status, looksComplete}).toEqual({framing, status: isHeld ? 502 : 200, looksComplete: true});
+				expect(isHeld ? body === '' : body === whole).toBe(true);
+			}
+		});
+
 		it('when its connection is reset', async () => {
 			expect(await findDeceptions(version, reset)).toEqual([]);
 			expect(brokenOffCount('lost')).toBeGreaterThan(0);
