Bytes without end that are no response close their connection

Reported by operators of other systems: an instance that sends bytes without end, in a head or a body, until its caller closes, and a machine that keeps them all and runs out of memory. Here nothing is kept: names, values, lists of headers and trailers end at 16 KB, refusals, early hints and unsigned answers were bounded, and bodies are read only as far as their clients take them. But a status line, blank lines, a chunk extension or the digits of a chunk's size were read until the deadline, and blank lines behind a response while the connection was idle: 4.2 to 7.7 GB in 30 s on loopback, all of it the loop's time. Change: a connection that receives more than 1 MiB without a head or a part of a body is closed. In instances' connections, the store's and peers'.

--- a/src/adapters/connection-pool.ts
+++ b/src/adapters/connection-pool.ts
@@ -1,5 +1,6 @@
 import {buildConnector, Client} from 'undici';
 import {type Clock} from '../contracts/clock.js';
+import {limitBytesWithoutProgress} from './limit-bytes-without-progress.js';
 import {watchForFailure} from './watch-for-failure.js';
 
 /** A connection, which carries one exchange at a time. */
@@ -9,6 +10,8 @@
 	lastReceivedMs: number | undefined;
 	/** Whether the connection failed; a response that is delimited by the end of the connection may then be truncated. */
 	hasFailed: boolean;
+	/** Records that what was received until now belongs to the response. */
+	markProgress: () => void;
 };
 
 type PoolOptions = {
@@ -25,6 +28,12 @@
 	readonly maxConnections: number;
 };
 
+/**
+ * Number of bytes after which a connection is closed if they were no part of a response, such as a status line or a chunk extension without
+ * end. It exceeds what is received ahead while nobody reads.
+ */
+const maxBytesWithoutProgress = 1_048_576;
+
 /**
  * Connections to one address. Each exchange uses a new connection or one that received a response within the idle limit.
  * After an exchange has timed out, `closeIdleSince` closes the idle connections that have received no response since its start,
@@ -51,6 +60,7 @@
 		this.closeExpired();
 		const conn = this.#idle.pop() ?? this.#open();
 		if (conn !== undefined) {
+			conn.markProgress();
 			this.#busy.add(conn);
 		}
 
@@ -117,13 +127,16 @@
 						watchForFailure(socket, () => {
 							conn.hasFailed = true;
 						});
+						conn.markProgress = limitBytesWithoutProgress(socket, maxBytesWithoutProgress);
 					}
 
 					callback(...result);
 				});
 			},
 		});
-		const conn: Connection = {client, lastReceivedMs: undefined, hasFailed: false};
+		const conn: Connection = {
+			client, lastReceivedMs: undefined, hasFailed: false, markProgress: () => undefined,
+		};
 		return conn;
 	}
 }
--- a/src/adapters/http-exchange.ts
+++ b/src/adapters/http-exchange.ts
@@ -3,6 +3,7 @@
 import {type ConnectionPool} from './connection-pool.js';
 import {describeFailure} from './describe-failure.js';
 import {readBody} from './read-body.js';
+import {withProgress} from './with-progress.js';
 
 type Exchange = {
 	readonly pool: ConnectionPool;
@@ -54,7 +55,7 @@
 			body: exchange.body,
 			signal: scope.signal,
 		});
-		const body = await readBody(res.body, exchange.maxAnswerBytes);
+		const body = await readBody(withProgress(res.body, conn.markProgress), exchange.maxAnswerBytes);
 		if (!body.success) {
 			exchange.pool.discard(conn);
 			return {kind: 'too_large'};
--- a/src/adapters/instance-client.ts
+++ b/src/adapters/instance-client.ts
@@ -10,6 +10,7 @@
 import {endToEndHeaders} from './end-to-end-headers.js';
 import {PoolSet} from './pool-set.js';
 import {rawHeader} from './raw-header.js';
+import {withProgress} from './with-progress.js';
 
 type InstanceClientOptions = {
 	readonly clock: Clock;
@@ -102,7 +103,7 @@
 				return {kind: 'broken', detail: fault};
 			}
 
-			const source = res.body[Symbol.asyncIterator]() as AsyncIterator<Uint8Array, unknown>;
+			const source = withProgress(res.body, conn.markProgress);
 			if (isRefusal(head)) {
 				isScopeHandedOver = true;
 				void this.#drainRefusal({
