A transfer coding other than chunks does not hide that a response ends with its connection

What callers would see: a part of an answer that looks complete. Cause: any Transfer-Encoding counted as chunks, but a response whose last coding is another one ends with its connection (RFC 9112, section 6.3), so that a reset was not looked at. Change: the framing follows the last coding; the daemon for published routes, which asks for no coding, does not pass such a response on.

--- a/src/adapters/http-exchange.test.ts
+++ b/src/adapters/http-exchange.test.ts
@@ -80,4 +80,13 @@
 
 		expect(await exchange()).toMatchObject({kind: 'lost'});
 	});
+
+	it('reports a response with a transfer coding other than chunks as lost when its connection is reset, since it has no other end', async () => {
+		respond = socket => {
+			socket.write('HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\na part');
+			socket.resetAndDestroy();
+		};
+
+		expect(await exchange()).toMatchObject({kind: 'lost'});
+	});
 });
--- a/src/adapters/http-exchange.ts
+++ b/src/adapters/http-exchange.ts
@@ -3,6 +3,7 @@
 import {type ConnectionPool} from './connection-pool.js';
 import {describeFailure} from './describe-failure.js';
 import {readBody} from './read-body.js';
+import {responseFraming} from './response-framing.js';
 import {withProgress} from './with-progress.js';
 
 type Exchange = {
@@ -62,8 +63,8 @@
 		}
 
 		const headers = flattenHeaders(res.headers);
-		const isEndedByConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
-		if (conn.hasFailed && isEndedByConnection) {
+		const framing = responseFraming({transferEncoding: headers['transfer-encoding'], contentLength: headers['content-length']});
+		if (conn.hasFailed && framing === 'connection') {
 			exchange.pool.discard(conn);
 			return {kind: 'lost', detail: 'the connection failed before the response was complete'};
 		}
--- a/src/adapters/instance-client.ts
+++ b/src/adapters/instance-client.ts
@@ -10,6 +10,7 @@
 import {endToEndHeaders} from './end-to-end-headers.js';
 import {PoolSet} from './pool-set.js';
 import {rawHeader} from './raw-header.js';
+import {responseFraming} from './response-framing.js';
 import {withProgress} from './with-progress.js';
 
 type InstanceClientOptions = {
@@ -226,12 +227,8 @@
 	return scope.isCancelled ? 'cancelled' : 'lost';
 }
 
-function framingOf(headers: readonly string[]): 'length' | 'chunks' | 'connection' {
-	if (rawHeader(headers, 'transfer-encoding') !== undefined) {
-		return 'chunks';
-	}
-
-	return rawHeader(headers, 'content-length') === undefined ? 'connection' : 'length';
+function framingOf(headers: readonly string[]): ReturnType<typeof responseFraming> {
+	return responseFraming({transferEncoding: rawHeader(headers, 'transfer-encoding'), contentLength: rawHeader(headers, 'content-length')});
 }
 
 function isRefusal({info}: Head): boolean {
@@ -257,6 +254,10 @@
 		return `the response with status ${status} is not signed`;
 	}
 
+	if (!['chunked', undefined].includes(rawHeader(headers, 'transfer-encoding')?.toLowerCase())) {
+		return 'the response has a transfer coding that was not requested';
+	}
+
 	return rawHeader(headers, 'content-encoding') === undefined ? undefined : 'the response has a content encoding that was not requested';
 }
 
