--- a/src/decisions/end-mark.test.ts
+++ b/src/decisions/end-mark.test.ts
@@ -3,13 +3,11 @@
 
 describe('endMark', () => {
 	it.each(['1.0', '1.1'])('is a length to HTTP/%s wherever it is known', clientVersion => {
-		expect(endMark({framing: 'length', isWhole: false, clientVersion})).toBe('length');
-		expect(endMark({framing: 'chunks', isWhole: true, clientVersion})).toBe('length');
-		expect(endMark({framing: 'connection', isWhole: true, clientVersion})).toBe('length');
+		expect(endMark({framing: 'length', clientVersion})).toBe('length');
 	});
 
 	it.each(['chunks', 'connection'] as const)('of a response that arrives framed by %s is never the end of the connection', framing => {
-		expect(endMark({framing, isWhole: false, clientVersion: '1.1'})).toBe('chunks');
-		expect(endMark({framing, isWhole: false, clientVersion: '1.0'})).toBe('length_once_whole');
+		expect(endMark({framing, clientVersion: '1.1'})).toBe('chunks');
+		expect(endMark({framing, clientVersion: '1.0'})).toBe('length_once_whole');
 	});
 });
--- a/src/decisions/end-mark.ts
+++ b/src/decisions/end-mark.ts
@@ -1,9 +1,8 @@
 import {type InstanceResult} from '../contracts/instance-result.js';
 
-type ResponseToForward = {
+/** A response that is forwarded while it arrives. */
+type ArrivingResponse = {
 	readonly framing: Extract<InstanceResult, {kind: 'whole'}>['framing'];
-	/** Whether the whole body has been received. */
-	readonly isWhole: boolean;
 	/** HTTP version of the client's request. */
 	readonly clientVersion: string;
 };
@@ -15,8 +14,8 @@
  * Returns how a client is told where a response ends. The end of the connection is never the mark: a connection also ends if this
  * process is killed, and some clients cannot tell a reset from an orderly close. Clients of HTTP/1.0 do not know chunks.
  */
-export function endMark({framing, isWhole, clientVersion}: ResponseToForward): EndMark {
-	if (isWhole || framing === 'length') {
+export function endMark({framing, clientVersion}: ArrivingResponse): EndMark {
+	if (framing === 'length') {
 		return 'length';
 	}
 
--- a/src/services/ingress-service.ts
+++ b/src/services/ingress-service.ts
@@ -232,7 +232,7 @@
 			return;
 		}
 
-		switch (endMark({framing: result.framing, isWhole: false, clientVersion: req.httpVersion})) {
+		switch (endMark({framing: result.framing, clientVersion: req.httpVersion})) {
 			case 'length': {
 				await this.#stream(served, outcome, result, withContentLength(headers, result.headers));
 				break;
@@ -270,7 +270,7 @@
 		}
 	}
 
-	/** Forwards a response with its length when it is whole; a client that gets a failure instead cannot have taken a part of it for the whole. */
+	/** Forwards a response with its length when it is whole, or a failure in its place. */
 	async #sendOnceWhole(served: ServedRequest, outcome: AnswerOutcome, {status, start, rest}: PartialResult, headers: readonly string[]): Promise<void> {
 		const memory = this.#heldBytes.reserve();
 		served.res.once('close', memory.release);
@@ -285,11 +285,12 @@
 		this.#sendResponse(served, {status: body.error.reason === 'overdue' ? 504 : 502, headers: []});
 	}
 
+	/** Logs and counts a response whose client cannot get all of it. */
 	#recordBrokenOff({req}: ServedRequest, {result, instanceId}: AnswerOutcome, cause: BrokenOffError['reason'] | 'failed' | 'too_large', detail: string): void {
 		const {logger, metrics, dialect} = this.#options;
 		const reason = this.#phase === 'closed' ? 'stopped' : cause;
 		metrics.count('responses_broken_off', {reason, framing: result.framing});
-		logger.limited('a response was broken off after its start was sent', {
+		logger.limited('a response that an instance began was not delivered whole', {
 			request: dialect.readRequest(req.headers).requestId,
 			instance: instanceId,
 			reason,
--- a/test/pipelined-clients.test.ts
+++ b/test/pipelined-clients.test.ts
@@ -92,6 +92,17 @@
 		expect(executedIds().toSorted()).toEqual(['a', 'b', 'c']);
 	});
 
+	it('receive the responses to all requests that were sent on, though the instance\'s first one ends with its connection', async () => {
+		instance.behaviours = ['no-length', 'answer'];
+		instance.runMs = 200;
+		const client = await openClient();
+		client.socket.write(get('a') + get('b') + get('c'));
+		await vi.waitUntil(() => answeredIds(client).length === 3, {timeout: 4000});
+		client.socket.write(post('d'));
+		await vi.waitUntil(() => answeredIds(client).length === 4, {timeout: 4000});
+		expect(answeredIds(client)).toEqual(['a', 'b', 'c', 'd']);
+	});
+
 	it('receive the responses to all requests up to one with "Connection: close", and none to those behind it, which are not sent on', async () => {
 		runFor('a', 200);
 		const client = await openClient();
