--- a/src/cli/request-history.test.ts
+++ b/src/cli/request-history.test.ts
@@ -31,4 +31,12 @@
 		const answered = line('2026-01-01T00:00:03Z', 'edge-2', 'request answered late', {status: 200, tookMs: 900, instance: 'i-1'});
 		expect(requestHistory([answered, ...refused].join('\n'), 'r1').ending).toBe('request answered late with status 200 of i-1 by edge-2 after 900 ms');
 	});
+
+	it('describes a response that was broken off, though its start counts as an answer', () => {
+		const {ending} = requestHistory([
+			line('2026-01-01T00:00:01Z', 'edge-1', 'request answered late', {status: 200, tookMs: 900, instance: 'i-1'}),
+			line('2026-01-01T00:00:02Z', 'edge-1', 'a response that an instance began was not delivered whole', {instance: 'i-1', reason: 'overdue'}),
+		].join('\n'), 'r1');
+		expect(ending).toBe('the response of i-1 was not delivered whole by edge-1: its deadline expired');
+	});
 });
--- a/src/cli/request-history.ts
+++ b/src/cli/request-history.ts
@@ -32,6 +32,15 @@
 	broken_off: 'its body was truncated',
 };
 
+/** Explanation of each reason why a response that had begun was not delivered whole. */
+const brokenOffDescriptions: Readonly<Record<string, string>> = {
+	lost: 'the instance or the connection to it failed',
+	overdue: 'its deadline expired',
+	cancelled: 'the client closed its connection',
+	stopped: 'the planned stop of the host ended',
+	too_large: 'it was too long to be held for a client of HTTP/1.0, which cannot be told otherwise where it ends',
+};
+
 /** Collects the log lines about one request from the logs of all hosts. Text before the JSON object of a line is ignored. */
 export function requestHistory(logs: string, requestId: string): RequestHistory {
 	const lines = logs.split('\n')
@@ -58,5 +67,10 @@
 		return `${String(line.outcome)} at ${line.host} after ${String(line.tookMs)} ms: ${reasonDescriptions[reason] ?? reason}`;
 	}
 
+	if (line.message === 'a response that an instance began was not delivered whole') {
+		const reason = String(line.reason);
+		return `the response of ${String(line.instance)} was not delivered whole by ${line.host}: ${brokenOffDescriptions[reason] ?? reason}`;
+	}
+
 	return line.message.startsWith('request answered') ? `${line.message} with status ${String(line.status)} of ${String(line.instance)} by ${line.host} after ${String(line.tookMs)} ms` : undefined;
 }
