--- a/test/raw-server.ts
+++ b/test/raw-server.ts
@@ -7,13 +7,13 @@
 	readonly #sockets = new Set<Socket>();
 
 	/** `respond` receives the request's text and returns the response's; with `isClosing`, the connection is closed after the response. */
-	constructor(respond: (request: string) => string | undefined, isClosing = false) {
+	constructor(respond: (request: string, socket: Socket) => string | undefined, isClosing = false) {
 		this.#server = createServer(socket => {
 			this.connections++;
 			this.#sockets.add(socket);
 			socket.on('error', () => undefined);
 			socket.on('data', data => {
-				const text = respond(data.toString());
+				const text = respond(data.toString(), socket);
 				if (text !== undefined) {
 					socket.write(text);
 				}
