--- a/src/adapters/watch-for-failure.ts
+++ b/src/adapters/watch-for-failure.ts
@@ -12,13 +12,13 @@
 		}
 
 		onFailure();
-		// With this code, undici takes the response for complete if its connection was to be closed, and fails an assertion if it is not reading.
+		// Given this code, undici takes a response for complete if its connection was to be closed, and fails an assertion if it is not reading.
 		if (err.code === 'ECONNRESET') {
 			err.code = 'ERR_CONNECTION_RESET';
 		}
 	});
 	socket.on('end', () => {
-		// A reset behind unread bytes is reported as an end, too, by libuv. After a reset there is no peer; Node looks it up at the first access.
+		// With libuv, a reset behind unread bytes is an end, too. After a reset there is no peer address; Node looks it up at the first access only.
 		if (socket.remoteAddress === undefined) {
 			onFailure();
 		}
--- a/src/services/collect-body.ts
+++ b/src/services/collect-response-body.ts
@@ -2,10 +2,10 @@
 import {BrokenOffError} from '../contracts/broken-off-error.js';
 import {type Result} from '../result.js';
 
-type CollectBodyError = {readonly reason: BrokenOffError['reason'] | 'failed' | 'too_large'; readonly message: string};
+type CollectResponseBodyError = {readonly reason: BrokenOffError['reason'] | 'failed' | 'too_large'; readonly message: string};
 
 /** Reads the rest of a response's body. `reserve` is called with the size of each part, and returns whether there is memory for it. */
-export async function collectBody(start: Uint8Array, rest: AsyncIterable<Uint8Array>, reserve: (bytes: number) => boolean): Promise<Result<Uint8Array, CollectBodyError>> {
+export async function collectResponseBody(start: Uint8Array, rest: AsyncIterable<Uint8Array>, reserve: (bytes: number) => boolean): Promise<Result<Uint8Array, CollectResponseBodyError>> {
 	const chunks: Uint8Array[] = [start];
 	try {
 		for await (const chunk of rest) {
--- a/src/services/ingress-service.ts
+++ b/src/services/ingress-service.ts
@@ -13,7 +13,7 @@
 import {endMark} from '../decisions/end-mark.js';
 import {RequestPipeline} from '../decisions/request-pipeline.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
-import {collectBody} from './collect-body.js';
+import {collectResponseBody} from './collect-response-body.js';
 import {disconnectSignal} from './disconnect-signal.js';
 import {listenAt} from './listen-at.js';
 import {type Logger} from './logger.js';
@@ -275,7 +275,7 @@
 		const memory = this.#heldBytes.reserve();
 		served.res.once('close', memory.release);
 		served.req.socket.once('close', memory.release);
-		const body = await collectBody(start, rest, memory.grow);
+		const body = await collectResponseBody(start, rest, memory.grow);
 		if (body.success) {
 			this.#sendResponse(served, {status, headers, body: body.data});
 			return;
