--- a/src/config/steering-settings.ts
+++ b/src/config/steering-settings.ts
@@ -18,6 +18,20 @@
 	graceMs: Milliseconds.default(6000),
 });
 
+/** What the host of a daemon can bear. */
+const Capacity = z.strictObject({
+	/** Share of one core that the daemon may use. */
+	cpuShare: z.number().positive(),
+	/** Speed of the core, as a multiple of the usual one. */
+	cores: z.number().positive(),
+	/** Memory at which the platform ends the process, in megabytes. */
+	memoryMb: z.number().positive(),
+	/** Number of open descriptors; the platform reserves some of them for files. */
+	maxDescriptors: z.int().positive(),
+	/** Bandwidth of the host's link, in megabits per second. */
+	linkMbps: z.number().positive(),
+});
+
 /** Settings of a daemon that serves published routes: identity of the host, addresses to listen at, store, limits of the platform. */
 export const SteeringSettings = z.strictObject({
 	host: z.strictObject({id: Name, region: Name, zone: Name}),
@@ -39,6 +53,8 @@
 	/** Addresses of other daemons, which may be out of date. */
 	seeds: z.array(SocketAddress).default([]),
 	bounds: Bounds.prefault({}),
+	/** Without it, no limit is derived from the size of the host. */
+	capacity: Capacity.optional(),
 	log: z.strictObject({level: z.enum(['error', 'warn', 'info', 'debug']).default('info')}).prefault({}),
 });
 
--- a/stand-ins/platform-settings-fields.ts
+++ b/stand-ins/platform-settings-fields.ts
@@ -31,6 +31,9 @@
 		internal_port_range: [7200, 7215],
 		seeds: seeds.map(seed => `${seed}:${ports.control}`),
 		platform: {address: storeAddress},
+		limits: {
+			cpu_share: 0.378, cores: 1, memory_mb: 272, max_fds: 2870, link_mbps: 700,
+		},
 		bounds: {
 			grace_s: 6, retry_budget_ratio: 0.2, budget_window_s: 10, retry_slack: 120, cold_multiplier: 1.5, cold_tolerance: 5,
 		},
--- a/test/render-template.test.ts
+++ b/test/render-template.test.ts
@@ -32,6 +32,9 @@
 				host: {id: 'edge-dsm-a-1', region: 'dsm', zone: 'dsm-a'},
 				seeds: ['10.1.0.18:7200', '10.2.0.34:7200'], bounds: {retryRatio: 0.2, retryWindowMs: 10_000, graceMs: 6000},
 				store: {address: '10.200.1.7:8384'},
+				capacity: {
+					cpuShare: 0.378, cores: 1, memoryMb: 272, maxDescriptors: 2870, linkMbps: 700,
+				},
 			},
 		});
 		const [, metricsPort] = /metrics = "(\d+)\//.exec(readFileSync('deploy/system.toml', 'utf8')) ?? [];
