Client accounts: contracts, decoding, and the check before a request's body is read

Callers saw: nothing yet asked who sends a request; any client that could reach a host was served.

`AccountCheck` decides in `ProxyService` whether a request may run (401 without a known key, 503 if no region allows both route and account) before the body is read and before the traffic split takes a turn; its result, with the account, is `RequestContext.admission`. If another configuration came into force while the request waited or its body arrived, it is checked again before the first send. With accounts, the headers that carry a key or a name do not reach instances.

The functions that translate results of sends move from proxy-service.ts into files of their own.

--- a/src/adapters/instance-client.ts
+++ b/src/adapters/instance-client.ts
@@ -30,6 +30,8 @@
 	readonly conn: Connection;
 	readonly scope: AbortScope;
 };
+/** Lower-case names of the client's headers that no instance receives; `withLength` for a buffered body, whose length the HTTP client sets itself. */
+type DroppedNames = {readonly always: ReadonlySet<string>; readonly withLength: ReadonlySet<string>};
 type StreamedResponse = OpenResponse & {readonly framing: ReturnType<typeof framingOf>};
 type RefusedResponse = OpenResponse & {readonly head: Head};
 
@@ -50,14 +52,15 @@
 export class InstanceClient {
 	readonly #options: InstanceClientOptions;
 	readonly #pools: PoolSet;
-	readonly #droppedNames: ReadonlySet<string>;
-	/** Names for requests with a buffered body, whose `content-length` the HTTP client sets itself. */
-	readonly #droppedNamesWithLength: ReadonlySet<string>;
+	readonly #droppedNames: DroppedNames;
+	/** Names for requests whose identity headers are left out. */
+	readonly #droppedNamesWithIdentity: DroppedNames;
 
 	constructor(options: InstanceClientOptions) {
 		this.#options = options;
-		this.#droppedNames = new Set([...perConnectionNames, ...options.dialect.replacedHeaders]);
-		this.#droppedNamesWithLength = new Set([...this.#droppedNames, 'content-length']);
+		const {replacedHeaders, identityHeaders} = options.dialect;
+		this.#droppedNames = toDroppedNames([...perConnectionNames, ...replacedHeaders]);
+		this.#droppedNamesWithIdentity = toDroppedNames([...perConnectionNames, ...replacedHeaders, ...identityHeaders]);
 		this.#pools = new PoolSet({
 			clock: options.clock, idleLimitMs, connectTimeoutMs, exchangeLimitMs, maxConnections: options.maxConnections,
 		});
@@ -84,7 +87,7 @@
 			const res = await conn.client.request({
 				method: call.method,
 				path: call.target,
-				headers: [...endToEndHeaders(call.headers, call.body instanceof Uint8Array ? this.#droppedNamesWithLength : this.#droppedNames), ...this.#options.dialect.requestHeaders(call)],
+				headers: [...endToEndHeaders(call.headers, this.#droppedNamesOf(call)), ...this.#options.dialect.requestHeaders(call)],
 				body: call.body as Uint8Array | undefined,
 				signal: scope.signal,
 				responseHeaders: 'raw',
@@ -165,6 +168,11 @@
 		this.#pools.close();
 	}
 
+	#droppedNamesOf({body, hidesIdentity}: InstanceCall): ReadonlySet<string> {
+		const names = hidesIdentity ? this.#droppedNamesWithIdentity : this.#droppedNames;
+		return body instanceof Uint8Array ? names.withLength : names.always;
+	}
+
 	#readHead(status: number, raw: readonly string[]): Head {
 		const byName = new Map<string, string>();
 		for (let index = 0; index < raw.length; index += 2) {
@@ -219,6 +227,10 @@
 	}
 }
 
+function toDroppedNames(names: readonly string[]): DroppedNames {
+	return {always: new Set(names), withLength: new Set([...names, 'content-length'])};
+}
+
 function reasonOf(scope: AbortScope): BrokenOffError['reason'] {
 	if (scope.isOverdue) {
 		return 'overdue';
--- a/src/contracts/http-dialect.ts
+++ b/src/contracts/http-dialect.ts
@@ -8,6 +8,8 @@
 	readonly objectKey: string | undefined;
 	/** Time for which the client waits for the response, in milliseconds. */
 	readonly remainingMs: number | undefined;
+	/** Key of the client's account. It is secret: it must not be logged or sent to instances. */
+	readonly accountKey: string | undefined;
 };
 
 /** Values of the status and headers of an instance's response. */
@@ -33,8 +35,10 @@
 export type HttpDialect = {
 	readonly readRequest: (headers: IncomingHttpHeaders) => ClientRequestInfo;
 	/** Returns the headers that the system sets on a request to an instance, as alternating names and values. */
-	readonly requestHeaders: (send: {readonly instanceId: string; readonly remainingMs: number}) => readonly string[];
+	readonly requestHeaders: (send: {readonly instanceId: string; readonly remainingMs: number; readonly accountName: string | undefined}) => readonly string[];
 	/** Lower-case names of the request headers that are replaced by those of `requestHeaders`. */
 	readonly replacedHeaders: ReadonlySet<string>;
+	/** Lower-case names of the request headers that carry an account's key or name. They are not passed on if the configuration has accounts. */
+	readonly identityHeaders: ReadonlySet<string>;
 	readonly readResponse: (status: number, headers: ReadonlyMap<string, string>) => InstanceResponseInfo;
 };
--- a/src/contracts/instance-call.ts
+++ b/src/contracts/instance-call.ts
@@ -11,6 +11,10 @@
 	readonly target: string;
 	/** Alternating header names and values, unchanged from the client's request. */
 	readonly headers: readonly string[];
+	/** Whether the client's identity headers are left out: the configuration has accounts. */
+	readonly hidesIdentity: boolean;
+	/** Name of the account that sent the request, which the instance is told. */
+	readonly accountName: string | undefined;
 	readonly body: Uint8Array | AsyncIterable<Uint8Array> | undefined;
 	/** Time within which the whole response must be received, in milliseconds. */
 	readonly remainingMs: number;
--- a/src/contracts/route-table.ts
+++ b/src/contracts/route-table.ts
@@ -1,3 +1,4 @@
+import {type Account} from './account.js';
 import {type Route} from './route.js';
 
 type RoutedService = {
@@ -25,4 +26,8 @@
 	readonly routes: readonly Route[];
 	readonly services: ReadonlyMap<string, RoutedService>;
 	readonly limits: IngressLimits;
+	/** Client accounts by name; empty if the configuration has none: then requests need no key. */
+	readonly accounts: ReadonlyMap<string, Account>;
+	/** Client accounts by each of their keys. The keys are secret: they must not be logged or sent to instances. */
+	readonly accountByKey: ReadonlyMap<string, Account>;
 };
--- a/src/contracts/route.ts
+++ b/src/contracts/route.ts
@@ -21,4 +21,6 @@
 	readonly hasAffinity: boolean;
 	/** Regions in which a request may run; empty for all. */
 	readonly allowedRegions: readonly string[];
+	/** Whether requests need no account's key where the configuration has accounts. */
+	readonly isPublic: boolean;
 };
--- a/src/decisions/routing.test.ts
+++ b/src/decisions/routing.test.ts
@@ -7,7 +7,7 @@
 function route(fields: Partial<Route>): Route {
 	return {
 		name: 'r', host: 'shop.example', prefix: '/', isRepeatable: true, timeoutMs: 1000, targetMs: 100, priority: 0,
-		targets: [{service: 'a', weight: 1}], maxAttempts: 2, hasAffinity: false, allowedRegions: [], ...fields,
+		targets: [{service: 'a', weight: 1}], maxAttempts: 2, hasAffinity: false, allowedRegions: [], isPublic: false, ...fields,
 	};
 }
 
--- a/src/services/attempt-observer.test.ts
+++ b/src/services/attempt-observer.test.ts
@@ -18,6 +18,7 @@
 	maxAttempts: 2,
 	hasAffinity: true,
 	allowedRegions: [],
+	isPublic: false,
 };
 
 function response(waiting: number): InstanceResult {
@@ -52,7 +53,7 @@
 		clock: {nowMs: () => nowMs}, metrics: new Metrics(), planner, region: 'a',
 	});
 	const recordEnd = observer.recordStart({
-		service: 's', route: sentRoute, objectKey: 'k', entry: table.get('i')!, expectedWaitMs,
+		service: 's', route: sentRoute, priority: sentRoute.priority, objectKey: 'k', entry: table.get('i')!, expectedWaitMs,
 	});
 	nowMs = 100;
 	recordEnd(result);
--- a/src/services/attempt-observer.ts
+++ b/src/services/attempt-observer.ts
@@ -19,6 +19,7 @@
 type ObservedAttempt = {
 	readonly service: string;
 	readonly route: Route;
+	readonly priority: number;
 	/** Object that the request concerns. */
 	readonly objectKey: string | undefined;
 	readonly entry: InstanceEntry;
@@ -77,7 +78,7 @@
 	}
 
 	#recordTimes(ended: EndedAttempt): void {
-		const {service, route, objectKey, entry, expectedWaitMs, result, tookMs, nowMs} = ended;
+		const {service, route, priority, objectKey, entry, expectedWaitMs, result, tookMs, nowMs} = ended;
 		this.#recordSpeed(ended);
 		if (!('info' in result)) {
 			return;
@@ -101,7 +102,7 @@
 			this.#options.planner.recordResponseTime(service, route.prefix, tookMs);
 			if (route.hasAffinity && objectKey !== undefined && expectedWaitMs === 0) {
 				this.#options.planner.recordRun({
-					service, route: route.prefix, priority: route.priority, objectKey, instanceId: entry.instance.id,
+					service, route: route.prefix, priority, objectKey, instanceId: entry.instance.id,
 				}, tookMs);
 			}
 		}
--- a/src/services/ingress-service.ts
+++ b/src/services/ingress-service.ts
@@ -364,6 +364,10 @@
 			return 404;
 		}
 
+		case 'unauthorized': {
+			return 401;
+		}
+
 		case 'no_request_id':
 		case 'broken_off': {
 			return 400;
--- a/src/services/proxy-outcome.ts
+++ b/src/services/proxy-outcome.ts
@@ -1,5 +1,8 @@
 import {type InstanceResult} from '../contracts/instance-result.js';
 
+/** Inputs that determined a refusal, by name, for the log. They contain no keys. */
+type RefusalFigures = Readonly<Record<string, string | number>>;
+
 /** Outcome of a client's request for a published route. */
 export type ProxyOutcome =
 	/** Response of an instance. */
@@ -13,8 +16,8 @@
 		readonly failedSends: number;
 	}
 	/** The request did not run and will not run later. */
-	| {readonly kind: 'not_run'; readonly reason: 'not_ready' | 'no_upstream' | 'busy' | 'paused' | 'shed' | 'retry_budget' | 'timeout' | 'quarantined' | 'stopping'; readonly retryAfterMs: number}
+	| {readonly kind: 'not_run'; readonly reason: 'not_ready' | 'no_upstream' | 'busy' | 'paused' | 'shed' | 'retry_budget' | 'timeout' | 'quarantined' | 'stopping' | 'no_common_region'; readonly retryAfterMs: number; readonly figures?: RefusalFigures}
 	/** The request may have run. */
 	| {readonly kind: 'unknown'; readonly reason: 'timeout' | 'lost' | 'broken' | 'cancelled'}
 	/** The request itself is invalid. */
-	| {readonly kind: 'invalid'; readonly reason: 'no_route' | 'no_request_id' | 'body_too_large' | 'broken_off'};
+	| {readonly kind: 'invalid'; readonly reason: 'no_route' | 'no_request_id' | 'body_too_large' | 'broken_off' | 'unauthorized'; readonly figures?: RefusalFigures};
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -8,6 +8,7 @@
 import {type SeededRandom} from '../decisions/seeded-random.js';
 import {isOverBefore} from '../decisions/is-over-before.js';
 import {RequestAttempts} from '../decisions/request-attempts.js';
+import {AccountCheck} from './accounts/account-check.js';
 import {fingerprintOf} from './fingerprint-of.js';
 import {type Logger} from './logger.js';
 import {type LoopTurns} from './loop-turns.js';
@@ -20,6 +21,9 @@
 import {RequestLog} from './request-log.js';
 import {type AttemptObserver} from './attempt-observer.js';
 import {type SteeringService} from './steering-service.js';
+import {toAttemptResult} from './to-attempt-result.js';
+import {toCallBody} from './to-call-body.js';
+import {toUnknownReason} from './to-unknown-reason.js';
 
 type ProxyOptions = {
 	readonly clock: Clock;
@@ -45,6 +49,7 @@
 type RequestContext = {
 	readonly req: ProxyRequest;
 	readonly route: Route;
+	readonly admission: Admitted;
 	readonly service: string;
 	readonly body: SendableBody;
 	readonly fingerprint: string;
@@ -53,8 +58,9 @@
 	readonly triedInstanceIds: Set<string>;
 };
 
-type ReadBody = Awaited<ReturnType<ProxyRequest['readBody']>>;
-type SendableBody = Extract<ReadBody, {kind: 'none' | 'whole' | 'stream'}>;
+type Admission = ReturnType<AccountCheck['admit']>;
+type Admitted = Extract<Admission, {kind: 'admitted'}>;
+type SendableBody = Parameters<typeof toCallBody>[0];
 type InstanceEntry = NonNullable<ReturnType<InstanceTable['get']>>;
 
 /** Request bodies up to this size are buffered, so that they can be sent again. */
@@ -75,6 +81,7 @@
 export class ProxyService {
 	readonly #options: ProxyOptions;
 	readonly #requestLog: RequestLog;
+	readonly #accounts: AccountCheck;
 	#inFlight = 0;
 	/** End of a planned stop, in monotonic milliseconds. */
 	#finishByMs = Number.POSITIVE_INFINITY;
@@ -82,6 +89,7 @@
 	constructor(options: ProxyOptions) {
 		this.#options = options;
 		this.#requestLog = new RequestLog(options.logger);
+		this.#accounts = new AccountCheck(options.metrics);
 	}
 
 	/** Number of requests without an outcome yet. */
@@ -102,13 +110,14 @@
 			// The end of the client's connection may already have arrived, too, if the request was read late.
 			await turns.next();
 			const route = this.#matchRoute(req);
-			const outcome = await this.#handle(req, route);
+			const admission = this.#admit(req, route);
+			const outcome = await this.#handle(req, route, admission);
 			const tookMs = clock.nowMs() - req.arrivedMs;
 			const reason = 'reason' in outcome ? outcome.reason : '';
 			metrics.count('proxied_requests', {outcome: outcome.kind, reason});
 			metrics.observe('proxied_seconds', {outcome: outcome.kind}, tookMs);
 			this.#requestLog.logEnd({
-				requestId: req.requestId, route, outcome, tookMs,
+				requestId: req.requestId, route, admission, outcome, tookMs,
 			});
 			return outcome;
 		} finally {
@@ -121,7 +130,13 @@
 		return this.#options.steering.match(req.host, path!);
 	}
 
-	async #handle(req: ProxyRequest, route: Route | undefined): Promise<ProxyOutcome> {
+	/** Checks a request against the accounts in force; `undefined` without a configuration or a route. */
+	#admit(req: ProxyRequest, route: Route | undefined): Admission | undefined {
+		const table = this.#options.steering.routes;
+		return table === undefined || route === undefined ? undefined : this.#accounts.admit(req, route, table);
+	}
+
+	async #handle(req: ProxyRequest, route: Route | undefined, admission: Admission | undefined): Promise<ProxyOutcome> {
 		const {steering, quarantine} = this.#options;
 		if (req.disconnect.aborted) {
 			return {kind: 'unknown', reason: 'cancelled'};
@@ -132,8 +147,13 @@
 			return {kind: 'not_run', reason: 'not_ready', retryAfterMs: notReadyRetryAfterMs};
 		}
 
+		// Checked before the traffic split, whose turns are for requests that may run.
+		if (admission?.kind === 'refused') {
+			return admission.outcome;
+		}
+
 		const service = route === undefined ? undefined : steering.nextServiceOf(route);
-		if (route === undefined || service === undefined) {
+		if (admission === undefined || route === undefined || service === undefined) {
 			return {kind: 'invalid', reason: 'no_route'};
 		}
 
@@ -155,6 +175,12 @@
 			return {kind: 'invalid', reason: 'broken_off'};
 		}
 
+		// The account may have lost its key while the request waited or its body arrived.
+		const latest = steering.routes === table ? admission : this.#accounts.admit(req, route, steering.routes ?? table);
+		if (latest.kind === 'refused') {
+			return latest.outcome;
+		}
+
 		const fingerprint = fingerprintOf({
 			service, method: req.method, path: req.target, body: body.kind === 'whole' ? body.bytes : undefined,
 		});
@@ -165,13 +191,14 @@
 		this.#options.retries.recordRequest(service, this.#options.clock.nowMs());
 		if (route.hasAffinity && req.objectKey !== undefined) {
 			this.#options.planner.recordRequest({
-				service, route: route.prefix, priority: route.priority, objectKey: req.objectKey, allowedRegions: route.allowedRegions,
+				service, route: route.prefix, priority: latest.priority, objectKey: req.objectKey, allowedRegions: latest.allowedRegions,
 			});
 		}
 
 		return this.#sendUntilAnswered({
 			req,
 			route,
+			admission: latest,
 			service,
 			body,
 			fingerprint,
@@ -241,13 +268,13 @@
 
 	#choose(context: RequestContext, nowMs: number): ReturnType<Placement['choose']> {
 		const {placement, steering, observer, coldLimitPerSecond} = this.#options;
-		const {req, route, service, triedInstanceIds, deadlineMs} = context;
+		const {req, route, admission, service, triedInstanceIds, deadlineMs} = context;
 		return placement.choose({
 			service,
 			objectKey: route.hasAffinity ? req.objectKey : undefined,
-			priority: route.priority,
+			priority: admission.priority,
 			isRepeatable: route.isRepeatable,
-			allowedRegions: route.allowedRegions,
+			allowedRegions: admission.allowedRegions,
 			avoid: triedInstanceIds,
 			coldPerSecond: coldLimitPerSecond(steering.routes?.services.get(service)?.coldPerSecond ?? 0),
 			remainingMs: deadlineMs - nowMs,
@@ -257,11 +284,11 @@
 
 	async #send(context: RequestContext, entry: InstanceEntry, expectedWaitMs: number): Promise<InstanceResult> {
 		const {clock, client, observer, notices} = this.#options;
-		const {req, route, body, service, deadlineMs} = context;
+		const {req, route, admission, body, service, deadlineMs} = context;
 		const {id, address} = entry.instance;
 		const remainingMs = Math.max(1, deadlineMs - clock.nowMs());
 		const recordEnd = observer.recordStart({
-			service, route, objectKey: req.objectKey, entry, expectedWaitMs,
+			service, route, priority: admission.priority, objectKey: req.objectKey, entry, expectedWaitMs,
 		});
 		const result = await client.send({
 			address,
@@ -270,6 +297,8 @@
 			method: req.method,
 			target: req.target,
 			headers: req.headers,
+			hidesIdentity: admission.hidesIdentity,
+			accountName: admission.account?.name,
 			body: toCallBody(body),
 			remainingMs,
 			onHead(info) {
@@ -307,64 +336,3 @@
 		return {kind: 'not_run', reason, retryAfterMs: Math.min(maxBaseRetryAfterMs, baseRetryAfterMs[reason] + excessMs) * (1 + (retryJitterShare * this.#options.random.next()))};
 	}
 }
-
-function toCallBody(body: SendableBody): Uint8Array | AsyncIterable<Uint8Array> | undefined {
-	switch (body.kind) {
-		case 'whole': {
-			return body.bytes;
-		}
-
-		case 'stream': {
-			return body.source;
-		}
-
-		case 'none': {
-			return undefined;
-		}
-	}
-}
-
-function toAttemptResult(result: InstanceResult): Parameters<RequestAttempts['recordResult']>[0] {
-	switch (result.kind) {
-		case 'whole':
-		case 'partial': {
-			return 'answered';
-		}
-
-		case 'not_run': {
-			return 'rejected';
-		}
-
-		case 'not_sent': {
-			return 'not_sent';
-		}
-
-		case 'broken':
-		case 'lost':
-		case 'overdue':
-		case 'cancelled': {
-			return 'unknown';
-		}
-	}
-}
-
-function toUnknownReason(result: InstanceResult): Extract<ProxyOutcome, {kind: 'unknown'}>['reason'] {
-	switch (result.kind) {
-		case 'cancelled': {
-			return 'cancelled';
-		}
-
-		case 'broken': {
-			return 'broken';
-		}
-
-		case 'whole':
-		case 'partial':
-		case 'not_run':
-		case 'not_sent':
-		case 'lost':
-		case 'overdue': {
-			return 'lost';
-		}
-	}
-}
--- a/src/services/request-log.test.ts
+++ b/src/services/request-log.test.ts
@@ -5,7 +5,7 @@
 import {RequestLog} from './request-log.js';
 
 const route: Route = {
-	name: 'read', host: 'shop.example', prefix: '/read/', isRepeatable: true, timeoutMs: 1000, targetMs: 200, priority: 1, targets: [], maxAttempts: 2, hasAffinity: true, allowedRegions: [],
+	name: 'read', host: 'shop.example', prefix: '/read/', isRepeatable: true, timeoutMs: 1000, targetMs: 200, priority: 1, targets: [], maxAttempts: 2, hasAffinity: true, allowedRegions: [], isPublic: false,
 };
 const answer: InstanceResult & {kind: 'whole'} = {
 	kind: 'whole', status: 200, headers: [], framing: 'length', body: new Uint8Array(), info: {
@@ -25,7 +25,7 @@
 	const log = new RequestLog(logger);
 	const logAnswer = (requestId: string, failedSends: number, tookMs = 20) => {
 		log.logEnd({
-			requestId, route, tookMs, outcome: {
+			requestId, route, admission: undefined, tookMs, outcome: {
 				kind: 'answer', result: answer, instanceId: 'i-2', expectedWaitMs: 0, failedSends,
 			},
 		});
--- a/src/services/request-log.ts
+++ b/src/services/request-log.ts
@@ -2,10 +2,18 @@
 import {type LiveInstance} from '../contracts/live-instance.js';
 import {type Route} from '../contracts/route.js';
 import {hashText} from '../decisions/hash-text.js';
+import {type AccountCheck} from './accounts/account-check.js';
 import {type Logger} from './logger.js';
 import {type ProxyOutcome} from './proxy-outcome.js';
 
-type EndedRequest = {readonly requestId: string | undefined; readonly route: Route | undefined; readonly outcome: ProxyOutcome; readonly tookMs: number};
+type EndedRequest = {
+	readonly requestId: string | undefined;
+	readonly route: Route | undefined;
+	/** `undefined` if the request was not checked, for lack of a configuration or a route. */
+	readonly admission: ReturnType<AccountCheck['admit']> | undefined;
+	readonly outcome: ProxyOutcome;
+	readonly tookMs: number;
+};
 
 type FailedSend = {
 	readonly requestId: string | undefined;
@@ -33,12 +41,17 @@
 	 * Logs each request with no response, a late one or one after a failed send, and a sample of the others. The sample is chosen by request
 	 * id, so it is the same on every host.
 	 */
-	logEnd({requestId, route, outcome, tookMs}: EndedRequest): void {
+	logEnd({requestId, route, admission, outcome, tookMs}: EndedRequest): void {
 		const fields = {
-			request: requestId, route: route?.name, priority: route?.priority, targetMs: route?.targetMs, tookMs: Math.round(tookMs),
+			request: requestId,
+			route: route?.name,
+			account: admission?.account?.name,
+			priority: admission?.kind === 'admitted' ? admission.priority : route?.priority,
+			targetMs: route?.targetMs,
+			tookMs: Math.round(tookMs),
 		};
 		if (outcome.kind !== 'answer') {
-			this.#logger.limited('request ended without an answer of an instance', {...fields, outcome: outcome.kind, reason: outcome.reason});
+			this.#logger.limited('request ended without an answer of an instance', {...fields, outcome: outcome.kind, reason: outcome.reason, ...('figures' in outcome && {figures: outcome.figures})});
 			return;
 		}
 
--- a/tools/placement-model/placement-model.ts
+++ b/tools/placement-model/placement-model.ts
@@ -236,8 +236,11 @@
 			maxAttempts: kind.maxAttempts,
 			hasAffinity: true,
 			allowedRegions: [],
+			isPublic: false,
 		})),
 		services: new Map(services.map(({name}) => [name, {healthPath: '/', maxConnections: 1000, coldPerSecond: 5}])),
+		accounts: new Map(),
+		accountByKey: new Map(),
 		limits: {
 			maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 5000, idleTimeoutMs: 15_000,
 		},
