--- a/tools/placement-model/model-clients.ts
+++ b/tools/placement-model/model-clients.ts
@@ -121,6 +121,7 @@
 			requestId,
 			objectKey,
 			remainingMs: remainingMs - scenario.latencyMs.clients,
+			accountKey: undefined,
 			method: 'GET',
 			host: requestHost,
 			target: `/${kind.name}/x`,
