--- a/src/services/replica-service.ts
+++ b/src/services/replica-service.ts
@@ -6,6 +6,7 @@
 import {ItemReplica} from '../decisions/item-replica.js';
 import {type StoreOutage} from '../decisions/store-outage.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
+import {describeCallError} from './describe-call-error.js';
 import {type Logger} from './logger.js';
 import {type MembersService} from './members-service.js';
 import {type Metrics} from './metrics.js';
@@ -181,7 +182,7 @@
 			this.#propagateChanges(changes, address);
 			revisionTracker.adopt(this.items.revision);
 		} catch (err) {
-			logger.debug('pulling items from a peer failed', {address, err: String(err)});
+			logger.debug('pulling items from a peer failed', {address, err: describeCallError(err)});
 			this.#runEffects(revisionTracker.recordPullFailure(address, clock.nowMs()));
 		}
 	}
--- a/stand-ins/platform-documents.ts
+++ b/stand-ins/platform-documents.ts
@@ -2,6 +2,8 @@
 
 type RouteDocument = {readonly resource_kind: 'routes'; readonly metadata: {readonly name: string}; readonly spec: RouteFields};
 
+type AccountDocument = {readonly resource_kind: 'tenants'; readonly metadata: {readonly name: string}; readonly spec: RouteFields};
+
 const routeDefaults = {
 	host: 'shop.example',
 	route_type: 'safe',
@@ -21,14 +23,19 @@
 		resource_kind: 'routes', metadata: {name}, spec: {...routeDefaults, prefix, ...fields},
 	}),
 
+	/** Returns a client account with its keys. */
+	account: (name: string, keys: readonly string[], fields: RouteFields = {}): AccountDocument => ({
+		resource_kind: 'tenants', metadata: {name}, spec: {api_keys: keys, ...fields},
+	}),
+
 	/** Fields of a route whose requests may run at most once. */
 	nonRepeatable: {route_type: 'non_idempotent'},
 
 	/** Returns the fields of a route with a latency target. */
 	withTarget: (targetMs: number) => ({target_latency_ms: targetMs}),
 
-	/** Returns a configuration with its version, its routes and the services that they refer to. */
-	configuration: (version: number, routes: readonly RouteDocument[], services: readonly string[] = [routeDefaults.service]) => ({
+	/** Returns a configuration with its version, its routes and accounts, and the services that the routes refer to. */
+	configuration: (version: number, routes: ReadonlyArray<RouteDocument | AccountDocument>, services: readonly string[] = [routeDefaults.service]) => ({
 		version,
 		resources: [
 			...routes,
