Priority and regions of accounts rank and place requests, in the plan as at each host

Callers saw: with accounts, the planner and the hosts still ranked by the routes' priorities. An account more urgent than all routes had no reserved instances and no way out of a full queue; a route's priority that no request had any more kept instances free. An object that two accounts with different regions request had one assignment, which followed whichever was reported last.

Change: the priorities of a service are those that routes and accounts make possible, until the region's planner reports which are in use (new optional field of its answer, only with accounts). An object has an assignment for each set of regions to which accounts narrow it; the order of instances follows the object's own key. The planner no longer takes objects back into a region in which they may not run: it did so for routes with allowed regions, too. `Admitted` states route, configuration, priority and regions of a request; refusals for lack of capacity state their figures.

Without accounts the inputs of plan and placement are those of before.

--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -12,6 +12,7 @@
 import {RegionLoads} from './region-loads.js';
 import {rendezvousOrder} from './rendezvous-order.js';
 import {RouteTimes} from './route-times.js';
+import {scopedObjectKey} from './scoped-object-key.js';
 import {ShiftBudget} from './shift-budget.js';
 import {SlownessReports} from './slowness-reports.js';
 import {initialRegion} from './initial-region.js';
@@ -22,7 +23,7 @@
 /** An instance that accepts requests. */
 type PlanInstance = PoolUsage['instances'][number];
 
-/** Priorities of the routes with affinity to each service, most urgent first. */
+/** Priorities that requests on routes with affinity to each service can have, most urgent first. */
 type Priorities = ReadonlyMap<string, readonly number[]>;
 
 type PlacementPlanOptions = {
@@ -34,6 +35,8 @@
 	/** Instances of all regions that accept requests now. */
 	readonly instances: readonly PlanInstance[];
 	readonly priorities: Priorities;
+	/** Whether the configuration has client accounts, whose priorities may be unused. */
+	readonly hasAccounts?: boolean;
 	/** Number of hosts by region. */
 	readonly hosts: ReadonlyMap<string, number>;
 };
@@ -84,6 +87,9 @@
 	/** Regions of the instances that accept requests, by instance id; an instance may be missing from its pool while it pauses. */
 	#presentRegions: ReadonlyMap<string, string> = new Map();
 	#priorities: Priorities = new Map();
+	#hasAccounts = false;
+	/** Priorities of the objects in demand by service, most urgent first. */
+	readonly #prioritiesInUse = new Map<string, readonly number[]>();
 	/** Slots and hosts of each region by service. */
 	#regionCapacities: ReadonlyMap<string, ReturnType<typeof regionCapacities>> = new Map();
 	#poolLoads: RegionLoad['pools'] = [];
@@ -163,8 +169,13 @@
 		return this.#objectCapacity.entries;
 	}
 
+	/** Priorities of the objects in demand, most urgent first, by service. Services without demand are missing, and all while the plan learns. */
+	get prioritiesInUse(): Array<[service: string, priorities: number[]]> {
+		return [...this.#prioritiesInUse].map(([service, priorities]) => [service, [...priorities]]);
+	}
+
 	/** Updates the plan for the instances that accept requests now. */
-	tick({instances, priorities, hosts}: TickInputs, nowMs: number): void {
+	tick({instances, priorities, hasAccounts = false, hosts}: TickInputs, nowMs: number): void {
 		this.#assignments.withdrawIdle(nowMs);
 		this.#offers = [];
 		this.#poolLoads = [];
@@ -172,6 +183,8 @@
 		this.#reservations = [];
 		this.#presentRegions = new Map(instances.map(instance => [instance.id, instance.region]));
 		this.#priorities = priorities;
+		this.#hasAccounts = hasAccounts;
+		this.#prioritiesInUse.clear();
 		const services = [...new Set(instances.map(instance => instance.service))];
 		this.#regionCapacities = new Map(services.map(service => [service, regionCapacities(instances.filter(instance => instance.service === service), hosts)]));
 		const ownHosts = hosts.get(this.#region) ?? 1;
@@ -240,7 +253,11 @@
 		const remoteInstances = instances.filter(instance => instance.region !== this.#region);
 		const objects = this.#assignments.ofService(service);
 		const requested = objects.filter(object => this.#demandSlots(object, nowMs) > minDemandSlots);
-		const priorities = this.#isLearning(nowMs) || requested.length === 0 ? this.#priorities.get(service) ?? [] : requested.map(object => object.priority);
+		if (!this.#isLearning(nowMs) && requested.length > 0) {
+			this.#prioritiesInUse.set(service, [...new Set(requested.map(object => object.priority))].toSorted((a, b) => a - b));
+		}
+
+		const priorities = this.#prioritiesInUse.get(service) ?? this.#priorities.get(service) ?? [];
 		const urgentPriority = Math.min(...priorities);
 		const hasSeveralPriorities = priorities.some(priority => priority > urgentPriority);
 		if (requested.length > 0) {
@@ -339,8 +356,9 @@
 
 	/** Returns the region in which an object is placed first. */
 	#initialRegion({service, priority, objectKey}: PlannedObject): string {
-		const isUrgent = isMostUrgent(priority, this.#priorities.get(service) ?? []);
-		return initialRegion(objectKey, this.#region, this.#regionCapacities.get(service) ?? [], isUrgent);
+		const inUse = this.#hasAccounts ? this.#prioritiesInUse.get(service) : undefined;
+		const isUrgent = isMostUrgent(priority, inUse ?? this.#priorities.get(service) ?? []);
+		return initialRegion(scopedObjectKey.plain(objectKey), this.#region, this.#regionCapacities.get(service) ?? [], isUrgent);
 	}
 
 	/** Moves an object to an instance in another region if the cap on cross-region shifts allows it; otherwise the object stays for now. */
@@ -376,7 +394,7 @@
 	#returnObjects({usage, objects}: Pool, nowMs: number): void {
 		const remoteObjects = objects.filter(object => {
 			const instance = usage.get(object.instanceId);
-			return instance !== undefined && instance.region !== this.#region && nowMs - object.lastMovedMs > minStayMs;
+			return instance !== undefined && instance.region !== this.#region && mayRunIn(object, this.#region) && nowMs - object.lastMovedMs > minStayMs;
 		});
 		for (const object of remoteObjects) {
 			if (usage.localUtilization >= returnUtilization) {
@@ -482,7 +500,7 @@
 
 /** Returns the first of the instances in the object's rendezvous order, unless its utilization exceeds the lowest one by more than the margin. */
 function preferredInstance(usage: PoolUsage, instances: readonly PlanInstance[], {objectKey}: PlannedObject): PlanInstance | undefined {
-	const [first] = rendezvousOrder(objectKey, instances, instance => instance.id);
+	const [first] = rendezvousOrder(scopedObjectKey.plain(objectKey), instances, instance => instance.id);
 	const leastUtilized = usage.leastUtilized(instances);
 	if (first === undefined || leastUtilized === undefined) {
 		return undefined;
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -6,6 +6,7 @@
 import {regionCapacities} from './region-capacities.js';
 import {rendezvousOrder} from './rendezvous-order.js';
 import {type SeededRandom} from './seeded-random.js';
+import {scopedObjectKey} from './scoped-object-key.js';
 import {initialRegion} from './initial-region.js';
 import {reservationOrder} from './reservation-order.js';
 
@@ -23,9 +24,9 @@
 	readonly coldShare: (instanceId: string) => number;
 	/** Ids of the instances to which the region's planner assigned objects, by object id. */
 	readonly assignments: ReadonlyMap<string, string>;
-	/** Distinct priorities of a service's routes with affinity, most urgent first. */
+	/** Distinct priorities of the requests on a service's routes with affinity, most urgent first. */
 	readonly prioritiesOf: (service: string) => readonly number[];
-	/** Shortest target time among a service's most urgent routes with affinity, in milliseconds. */
+	/** Shortest target time among a service's most urgent requests on routes with affinity, in milliseconds. */
 	readonly urgentTargetMs: (service: string) => number;
 	/** Instances that the planner reserves for the most urgent requests of a service. */
 	readonly reservationOf: (service: string) => {readonly priority: number; readonly instanceIds: ReadonlySet<string>} | undefined;
@@ -34,8 +35,8 @@
 type PlacementRequest = {
 	readonly service: string;
 	/**
-	 * Key of the object that the request concerns, on a route with affinity (where an instance is faster for objects that it
-	 * served before); otherwise `undefined`.
+	 * Scoped key of the object that the request concerns, on a route with affinity (where an instance is faster for objects that
+	 * it served before); otherwise `undefined`.
 	 */
 	readonly objectKey: string | undefined;
 	/** 0 is the most urgent. */
@@ -161,7 +162,7 @@
 		}
 
 		const instances = table.serving(service).map(entry => ({region: entry.region, slots: entry.instance.slots}));
-		return initialRegion(objectKey, region, regionCapacities(instances, hostsByRegion()), isMostUrgent(priority, prioritiesOf(service)));
+		return initialRegion(scopedObjectKey.plain(objectKey), region, regionCapacities(instances, hostsByRegion()), isMostUrgent(priority, prioritiesOf(service)));
 	}
 
 	/**
@@ -191,7 +192,7 @@
 	#ordered(candidates: readonly Candidate[], objectKey: string | undefined): Candidate[] {
 		return objectKey === undefined
 			? this.#options.random.sample(candidates, candidates.length)
-			: rendezvousOrder(objectKey, candidates, entry => entry.instance.id);
+			: rendezvousOrder(scopedObjectKey.plain(objectKey), candidates, entry => entry.instance.id);
 	}
 
 	/**
--- a/src/services/accounts/account-check.ts
+++ b/src/services/accounts/account-check.ts
@@ -11,6 +11,9 @@
 type Admission =
 	| {
 		readonly kind: 'admitted';
+		readonly route: Route;
+		/** Configuration by which the request was checked. */
+		readonly table: RouteTable;
 		/** `undefined` for an anonymous request. */
 		readonly account: Account | undefined;
 		/** Whether the client's identity headers must not reach instances. */
@@ -43,12 +46,12 @@
 		switch (identity.kind) {
 			case 'anonymous': {
 				return {
-					kind: 'admitted', account: undefined, hidesIdentity, priority: route.priority, allowedRegions: route.allowedRegions,
+					kind: 'admitted', route, table, account: undefined, hidesIdentity, priority: route.priority, allowedRegions: route.allowedRegions,
 				};
 			}
 
 			case 'account': {
-				return this.#admitAccount(identity.account, route);
+				return this.#admitAccount(identity.account, route, table);
 			}
 
 			case 'missing_key':
@@ -62,7 +65,7 @@
 		}
 	}
 
-	#admitAccount(account: Account, route: Route): Admission {
+	#admitAccount(account: Account, route: Route, table: RouteTable): Admission {
 		const allowedRegions = commonRegions(route.allowedRegions, account.allowedRegions);
 		if (allowedRegions === undefined) {
 			return {
@@ -76,7 +79,7 @@
 		}
 
 		return {
-			kind: 'admitted', account, hidesIdentity: true, priority: account.priority ?? route.priority, allowedRegions,
+			kind: 'admitted', route, table, account, hidesIdentity: true, priority: account.priority ?? route.priority, allowedRegions,
 		};
 	}
 }
--- a/src/services/planner-service.ts
+++ b/src/services/planner-service.ts
@@ -5,6 +5,7 @@
 import {type InstanceTable} from '../decisions/instance-table.js';
 import {objectId} from '../decisions/object-id.js';
 import {memberKey} from '../decisions/member-key.js';
+import {PrioritiesInUse} from '../decisions/priorities-in-use.js';
 import {SlownessEstimator} from '../decisions/slowness-estimator.js';
 import {PlacementPlan} from '../decisions/placement-plan.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
@@ -29,7 +30,7 @@
 	readonly members: Pick<MembersService, 'ownerOf' | 'isSelf'> & {readonly membership: Pick<MembersService['membership'], 'self' | 'otherRegions' | 'hostsOf'>};
 	readonly peerClient: PlannerPeers;
 	readonly instances: InstanceTable;
-	readonly steering: Pick<SteeringService, 'priorities' | 'hostsByRegion'>;
+	readonly steering: Pick<SteeringService, 'priorities' | 'hasAccounts' | 'hostsByRegion'>;
 	readonly notices: Pick<NoticeRecorder, 'recordLeaving'>;
 };
 
@@ -57,7 +58,10 @@
 	readonly #requests = new Map<string, ObjectRequest & {count: number}>();
 	readonly #runs = new Map<string, Omit<ObjectRun, 'instanceId'> & {runs: number; totalMs: number}>();
 	readonly #responseTimes = new Map<string, {readonly service: string; readonly route: string; shortestMs: number}>();
+	readonly #prioritiesInUse = new PrioritiesInUse();
 	#reservations: ReadonlyMap<string, Reservation> = new Map();
+	/** Priorities that the planner reports as in use, by service. */
+	#reportedPriorities: ReadonlyMap<string, readonly number[]> = new Map();
 	#version = 0;
 	/** Key of the planner that accepted the latest report. */
 	#lastPlannerKey = '';
@@ -82,6 +86,15 @@
 		return this.#reservations.get(service);
 	}
 
+	/** Returns the priorities of the requests for a service, the most urgent first: with accounts those in use, otherwise those of its routes. */
+	prioritiesOf(service: string): readonly number[] {
+		const {steering, clock} = this.#options;
+		const possible = steering.priorities.get(service) ?? [];
+		return steering.hasAccounts
+			? this.#prioritiesInUse.of(service, {reported: this.#reportedPriorities.get(service), possible}, clock.nowMs())
+			: possible;
+	}
+
 	start(lifecycle: Pick<Lifecycle, 'every'>): void {
 		lifecycle.every('placement', tickMs, () => {
 			this.#tick();
@@ -89,14 +102,11 @@
 		this.#options.metrics.gauge('objects_assigned', () => this.#assignments.size);
 	}
 
-	/** Records a request for an object, for this host's next report to the planner. */
-	recordRequest(req: ObjectRequest): void {
-		const id = `${objectId(req.service, req.priority, req.objectKey)}|${req.route}`;
-		const entry = this.#requests.get(id);
-		if (entry === undefined) {
-			this.#requests.set(id, {...req, count: 1});
-		} else {
-			entry.count++;
+	/** Records a request on a route with affinity: its priority and, if it concerns an object, that for this host's next report to the planner. */
+	recordRequest({objectKey, ...fields}: Omit<ObjectRequest, 'objectKey'> & {readonly objectKey: string | undefined}): void {
+		this.#prioritiesInUse.record(fields.service, fields.priority, this.#options.clock.nowMs());
+		if (objectKey !== undefined) {
+			this.#recordObject({...fields, objectKey});
 		}
 	}
 
@@ -129,7 +139,9 @@
 	/** Merges a host's report into the region's plan and returns the assignments that the host lacks. */
 	receiveReport(report: PlacementReport): PlacementUpdate {
 		this.#recordLeaving(report.leaving, report.host);
-		return {...this.#ensurePlan().applyReport(report, this.#options.clock.nowMs()), leaving: this.#leavingInstances()};
+		const plan = this.#ensurePlan();
+		const update = plan.applyReport(report, this.#options.clock.nowMs());
+		return {...update, leaving: this.#leavingInstances(), ...(this.#options.steering.hasAccounts && {inUse: plan.prioritiesInUse})};
 	}
 
 	/** Merges another region's load if this host is the planner; otherwise relays it to the region's planner, unless it was relayed already. */
@@ -144,13 +156,25 @@
 		await peerClient.steering(planner.peers).regionLoad.mutate({load, isRelayed: true});
 	}
 
+	#recordObject(req: ObjectRequest): void {
+		const id = `${objectId(req.service, req.priority, req.objectKey)}|${req.route}`;
+		const entry = this.#requests.get(id);
+		if (entry === undefined) {
+			this.#requests.set(id, {...req, count: 1});
+		} else {
+			entry.count++;
+		}
+	}
+
 	#tick(): void {
 		const {members, clock, instances, logger, steering} = this.#options;
 		const isPlanner = members.isSelf(members.ownerOf('placement'));
 		if (isPlanner) {
 			const nowMs = clock.nowMs();
 			const plan = this.#ensurePlan();
-			plan.tick({instances: instances.available(nowMs), priorities: steering.priorities, hosts: steering.hostsByRegion()}, nowMs);
+			plan.tick({
+				instances: instances.available(nowMs), priorities: steering.priorities, hasAccounts: steering.hasAccounts, hosts: steering.hostsByRegion(),
+			}, nowMs);
 			this.#ticks++;
 			if (this.#ticks % ticksPerLog === 0) {
 				logger.info('load of the region', {...plan.regionLoad(), slow: plan.slowInstances(nowMs), kept: plan.objectCapacities});
@@ -227,6 +251,7 @@
 	#applyUpdate(update: PlacementUpdate): void {
 		this.#version = update.version;
 		this.#recordLeaving(update.leaving, 'planner');
+		this.#reportedPriorities = new Map(update.inUse);
 		this.#reservations = new Map(update.reserved.map(([service, priority, ids]) => [service, {priority, instanceIds: new Set(ids)}]));
 		for (const [id, instanceId] of update.entries) {
 			if (instanceId === '') {
--- a/src/services/proxy-outcome.ts
+++ b/src/services/proxy-outcome.ts
@@ -16,8 +16,13 @@
 		readonly failedSends: number;
 	}
 	/** The request did not run and will not run later. */
-	| {readonly kind: 'not_run'; readonly reason: 'not_ready' | 'no_upstream' | 'busy' | 'paused' | 'shed' | 'retry_budget' | 'timeout' | 'quarantined' | 'stopping' | 'no_common_region'; readonly retryAfterMs: number; readonly figures?: RefusalFigures}
+	| {
+		readonly kind: 'not_run';
+		readonly reason: 'not_ready' | 'no_upstream' | 'busy' | 'paused' | 'shed' | 'retry_budget' | 'timeout' | 'quarantined' | 'stopping' | 'no_common_region';
+		readonly retryAfterMs: number;
+		readonly figures?: RefusalFigures | undefined;
+	}
 	/** The request may have run. */
 	| {readonly kind: 'unknown'; readonly reason: 'timeout' | 'lost' | 'broken' | 'cancelled'}
 	/** The request itself is invalid. */
-	| {readonly kind: 'invalid'; readonly reason: 'no_route' | 'no_request_id' | 'body_too_large' | 'broken_off' | 'unauthorized'; readonly figures?: RefusalFigures};
+	| {readonly kind: 'invalid'; readonly reason: 'no_route' | 'no_request_id' | 'body_too_large' | 'broken_off' | 'unauthorized'; readonly figures?: RefusalFigures | undefined};
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -6,6 +6,7 @@
 import {type Placement} from '../decisions/placement.js';
 import {type RetryShare} from '../decisions/retry-share.js';
 import {type SeededRandom} from '../decisions/seeded-random.js';
+import {scopedObjectKey} from '../decisions/scoped-object-key.js';
 import {isOverBefore} from '../decisions/is-over-before.js';
 import {RequestAttempts} from '../decisions/request-attempts.js';
 import {AccountCheck} from './accounts/account-check.js';
@@ -48,9 +49,10 @@
 /** State of one request across its attempts. */
 type RequestContext = {
 	readonly req: ProxyRequest;
-	readonly route: Route;
 	readonly admission: Admitted;
 	readonly service: string;
+	/** Scoped key of the object that the request concerns. */
+	readonly objectKey: string | undefined;
 	readonly body: SendableBody;
 	readonly fingerprint: string;
 	readonly deadlineMs: number;
@@ -60,6 +62,8 @@
 
 type Admission = ReturnType<AccountCheck['admit']>;
 type Admitted = Extract<Admission, {kind: 'admitted'}>;
+/** What determined a refusal for lack of capacity: by how much the expected wait is too long, the time until the deadline, and the usual run time. */
+type BusyFigures = {readonly excessWaitMs: number; readonly remainingMs: number; readonly usualRunMs: number};
 type SendableBody = Parameters<typeof toCallBody>[0];
 type InstanceEntry = NonNullable<ReturnType<InstanceTable['get']>>;
 
@@ -111,7 +115,7 @@
 			await turns.next();
 			const route = this.#matchRoute(req);
 			const admission = this.#admit(req, route);
-			const outcome = await this.#handle(req, route, admission);
+			const outcome = admission.kind === 'refused' ? admission.outcome : await this.#handle(req, admission);
 			const tookMs = clock.nowMs() - req.arrivedMs;
 			const reason = 'reason' in outcome ? outcome.reason : '';
 			metrics.count('proxied_requests', {outcome: outcome.kind, reason});
@@ -130,30 +134,25 @@
 		return this.#options.steering.match(req.host, path!);
 	}
 
-	/** Checks a request against the accounts in force; `undefined` without a configuration or a route. */
-	#admit(req: ProxyRequest, route: Route | undefined): Admission | undefined {
+	/** Decides whether a request may run, from its head alone. It is called before the traffic split, whose turns are for requests that may run. */
+	#admit(req: ProxyRequest, route: Route | undefined): Admission {
 		const table = this.#options.steering.routes;
-		return table === undefined || route === undefined ? undefined : this.#accounts.admit(req, route, table);
-	}
-
-	async #handle(req: ProxyRequest, route: Route | undefined, admission: Admission | undefined): Promise<ProxyOutcome> {
-		const {steering, quarantine} = this.#options;
 		if (req.disconnect.aborted) {
-			return {kind: 'unknown', reason: 'cancelled'};
+			return refused({kind: 'unknown', reason: 'cancelled'});
 		}
 
-		const table = steering.routes;
 		if (table === undefined) {
-			return {kind: 'not_run', reason: 'not_ready', retryAfterMs: notReadyRetryAfterMs};
+			return refused({kind: 'not_run', reason: 'not_ready', retryAfterMs: notReadyRetryAfterMs});
 		}
 
-		// Checked before the traffic split, whose turns are for requests that may run.
-		if (admission?.kind === 'refused') {
-			return admission.outcome;
-		}
+		return route === undefined ? refused({kind: 'invalid', reason: 'no_route'}) : this.#accounts.admit(req, route, table);
+	}
 
-		const service = route === undefined ? undefined : steering.nextServiceOf(route);
-		if (admission === undefined || route === undefined || service === undefined) {
+	async #handle(req: ProxyRequest, admission: Admitted): Promise<ProxyOutcome> {
+		const {steering, quarantine} = this.#options;
+		const {route, table} = admission;
+		const service = steering.nextServiceOf(route);
+		if (service === undefined) {
 			return {kind: 'invalid', reason: 'no_route'};
 		}
 
@@ -176,7 +175,7 @@
 		}
 
 		// The account may have lost its key while the request waited or its body arrived.
-		const latest = steering.routes === table ? admission : this.#accounts.admit(req, route, steering.routes ?? table);
+		const latest = steering.routes === table ? admission : this.#accounts.admit(req, route, steering.routes!);
 		if (latest.kind === 'refused') {
 			return latest.outcome;
 		}
@@ -189,17 +188,18 @@
 		}
 
 		this.#options.retries.recordRequest(service, this.#options.clock.nowMs());
-		if (route.hasAffinity && req.objectKey !== undefined) {
+		const objectKey = req.objectKey === undefined ? undefined : scopedObjectKey.of(req.objectKey, latest.allowedRegions, route.allowedRegions);
+		if (route.hasAffinity) {
 			this.#options.planner.recordRequest({
-				service, route: route.prefix, priority: latest.priority, objectKey: req.objectKey, allowedRegions: latest.allowedRegions,
+				service, route: route.prefix, priority: latest.priority, objectKey, allowedRegions: latest.allowedRegions,
 			});
 		}
 
 		return this.#sendUntilAnswered({
 			req,
-			route,
 			admission: latest,
 			service,
+			objectKey,
 			body,
 			fingerprint,
 			deadlineMs: req.arrivedMs + Math.min(req.remainingMs ?? Number.POSITIVE_INFINITY, route.timeoutMs),
@@ -233,11 +233,13 @@
 			}
 
 			if (choice.kind === 'busy') {
-				return this.#outcomeWithoutResponse(attempts, lastResult, 'busy', choice.excessMs);
+				return this.#outcomeWithoutResponse(attempts, lastResult, 'busy', {
+					excessWaitMs: Math.round(choice.excessMs), remainingMs: Math.round(deadlineMs - nowMs), usualRunMs: Math.round(observer.runMs(service, context.admission.route)),
+				});
 			}
 
 			if (!isOverBefore({
-				startMs: nowMs, waitMs: choice.waitMs, usualRunMs: observer.runMs(service, context.route), endMs: this.#finishByMs,
+				startMs: nowMs, waitMs: choice.waitMs, usualRunMs: observer.runMs(service, context.admission.route), endMs: this.#finishByMs,
 			})) {
 				return this.#outcomeWithoutResponse(attempts, lastResult, 'stopping');
 			}
@@ -268,13 +270,14 @@
 
 	#choose(context: RequestContext, nowMs: number): ReturnType<Placement['choose']> {
 		const {placement, steering, observer, coldLimitPerSecond} = this.#options;
-		const {req, route, admission, service, triedInstanceIds, deadlineMs} = context;
+		const {admission, service, objectKey, triedInstanceIds, deadlineMs} = context;
+		const {route, priority, allowedRegions} = admission;
 		return placement.choose({
 			service,
-			objectKey: route.hasAffinity ? req.objectKey : undefined,
-			priority: admission.priority,
+			objectKey: route.hasAffinity ? objectKey : undefined,
+			priority,
 			isRepeatable: route.isRepeatable,
-			allowedRegions: admission.allowedRegions,
+			allowedRegions,
 			avoid: triedInstanceIds,
 			coldPerSecond: coldLimitPerSecond(steering.routes?.services.get(service)?.coldPerSecond ?? 0),
 			remainingMs: deadlineMs - nowMs,
@@ -284,11 +287,11 @@
 
 	async #send(context: RequestContext, entry: InstanceEntry, expectedWaitMs: number): Promise<InstanceResult> {
 		const {clock, client, observer, notices} = this.#options;
-		const {req, route, admission, body, service, deadlineMs} = context;
+		const {req, admission, body, service, objectKey, deadlineMs} = context;
 		const {id, address} = entry.instance;
 		const remainingMs = Math.max(1, deadlineMs - clock.nowMs());
 		const recordEnd = observer.recordStart({
-			service, route, priority: admission.priority, objectKey: req.objectKey, entry, expectedWaitMs,
+			service, route: admission.route, priority: admission.priority, objectKey, entry, expectedWaitMs,
 		});
 		const result = await client.send({
 			address,
@@ -328,11 +331,18 @@
 	}
 
 	/** Returns the outcome of a request without a response: `not_run` only if it is certain that no attempt ran, otherwise `unknown`. */
-	#outcomeWithoutResponse(attempts: RequestAttempts, lastResult: InstanceResult | undefined, reason: keyof typeof baseRetryAfterMs, excessMs = 0): ProxyOutcome {
+	#outcomeWithoutResponse(attempts: RequestAttempts, lastResult: InstanceResult | undefined, reason: keyof typeof baseRetryAfterMs, busy?: BusyFigures): ProxyOutcome {
 		if (attempts.mayHaveRun) {
 			return {kind: 'unknown', reason: lastResult === undefined || lastResult.kind === 'overdue' ? 'timeout' : toUnknownReason(lastResult)};
 		}
 
-		return {kind: 'not_run', reason, retryAfterMs: Math.min(maxBaseRetryAfterMs, baseRetryAfterMs[reason] + excessMs) * (1 + (retryJitterShare * this.#options.random.next()))};
+		const baseMs = Math.min(maxBaseRetryAfterMs, baseRetryAfterMs[reason] + (busy?.excessWaitMs ?? 0));
+		return {
+			kind: 'not_run', reason, figures: busy, retryAfterMs: baseMs * (1 + (retryJitterShare * this.#options.random.next())),
+		};
 	}
 }
+
+function refused(outcome: Extract<Admission, {kind: 'refused'}>['outcome']): Admission {
+	return {kind: 'refused', account: undefined, outcome};
+}
--- a/src/services/steering-service.ts
+++ b/src/services/steering-service.ts
@@ -6,6 +6,7 @@
 import {type StoreChange} from '../contracts/store-change.js';
 import {type InstanceTable} from '../decisions/instance-table.js';
 import {RouteMatcher} from '../decisions/route-matcher.js';
+import {targetsByPriority} from '../decisions/targets-by-priority.js';
 import {TrafficSplit} from '../decisions/traffic-split.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
 import {type Logger} from './logger.js';
@@ -35,7 +36,8 @@
 	#table: RouteTable | undefined;
 	#matcher = new RouteMatcher([]);
 	#priorities: ReadonlyMap<string, readonly number[]> = new Map();
-	#urgentTargetsMs: ReadonlyMap<string, number> = new Map();
+	/** Shortest target times in milliseconds, by service and priority. */
+	#targetsMs: ReturnType<typeof targetsByPriority> = new Map();
 
 	constructor(options: SteeringOptions) {
 		this.#options = options;
@@ -46,14 +48,19 @@
 		return this.#table;
 	}
 
-	/** Priorities of the routes with affinity by service, most urgent first. */
+	/** Whether the configuration in force has client accounts. */
+	get hasAccounts(): boolean {
+		return this.#table !== undefined && this.#table.accounts.size > 0;
+	}
+
+	/** Priorities that requests on routes with affinity can have, by service, most urgent first. */
 	get priorities(): ReadonlyMap<string, readonly number[]> {
 		return this.#priorities;
 	}
 
-	/** Returns the shortest target latency among the most urgent routes with affinity to a service, in milliseconds; 0 if there is no such route. */
-	urgentTargetMs(service: string): number {
-		return this.#urgentTargetsMs.get(service) ?? 0;
+	/** Returns the shortest target time of requests of a priority on routes with affinity to a service, in milliseconds; 0 if there can be none. */
+	targetMs(service: string, priority: number | undefined): number {
+		return priority === undefined ? 0 : this.#targetsMs.get(service)?.get(priority) ?? 0;
 	}
 
 	/** Hosts listed in the store, by the id of their entry. */
@@ -152,10 +159,10 @@
 		this.#table = next.data;
 		this.#matcher = new RouteMatcher(next.data.routes);
 		this.#trafficSplit.retain(next.data.routes);
-		this.#priorities = prioritiesOf(next.data.routes);
-		this.#urgentTargetsMs = urgentTargetsOf(next.data.routes, this.#priorities);
+		this.#targetsMs = targetsByPriority(next.data);
+		this.#priorities = new Map([...this.#targetsMs].map(([service, targets]) => [service, [...targets.keys()]]));
 		logger.info('configuration in force', {
-			version: next.data.version, revision: change.item.revision, source, routes: next.data.routes.length,
+			version: next.data.version, revision: change.item.revision, source, routes: next.data.routes.length, accounts: next.data.accounts.size, keys: next.data.accountByKey.size,
 		});
 		for (const listener of this.#listeners) {
 			listener(next.data);
@@ -225,22 +232,3 @@
 		this.#hostsByRegion = new Map([...this.#addressesByRegion].map(([region, addresses]) => [region, addresses.length]));
 	}
 }
-
-function prioritiesOf(routes: readonly Route[]): Map<string, readonly number[]> {
-	const priorities = new Map<string, number[]>();
-	for (const route of routes.filter(item => item.hasAffinity)) {
-		for (const {service} of route.targets) {
-			const own = priorities.get(service) ?? [];
-			priorities.set(service, [...new Set([...own, route.priority])].toSorted((a, b) => a - b));
-		}
-	}
-
-	return priorities;
-}
-
-function urgentTargetsOf(routes: readonly Route[], priorities: ReadonlyMap<string, readonly number[]>): Map<string, number> {
-	return new Map([...priorities].map(([service, [urgent]]) => [
-		service,
-		Math.min(...routes.filter(route => route.hasAffinity && route.priority === urgent && route.targets.some(target => target.service === service)).map(route => route.targetMs)),
-	]));
-}
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -260,8 +260,8 @@
 					region: settings.host.region,
 					hostsByRegion: () => get('steering').hostsByRegion(),
 					assignments: get('planner').assignments,
-					prioritiesOf: service => get('steering').priorities.get(service) ?? [],
-					urgentTargetMs: service => get('steering').urgentTargetMs(service),
+					prioritiesOf: service => get('planner').prioritiesOf(service),
+					urgentTargetMs: service => get('steering').targetMs(service, get('planner').prioritiesOf(service)[0]),
 					reservationOf: service => get('planner').reservationOf(service),
 					coldShare: instanceId => (members.mayActForRegion()
 						? coldShare(instanceId, {
