Log and explain show why a request was refused, with the figures; 401 names the scheme

Callers saw: a 401 without `WWW-Authenticate`, which RFC 9110 requires. Operators saw the reason of a refusal, but not what determined it.

Change: the line about a request's end has the account's name, the priority that applied, the retry time and `figures`; `explain` shows these for 401, for regions without overlap and for lack of capacity.

--- a/src/cli/request-history.ts
+++ b/src/cli/request-history.ts
@@ -3,6 +3,7 @@
 const LogLine = z.looseObject({
 	timestamp: z.string(), host: z.string(), message: z.string(), request: z.string(),
 });
+const Figures = z.record(z.string(), z.union([z.string(), z.number()]));
 type LogLine = z.infer<typeof LogLine>;
 
 type RequestHistory = {
@@ -21,11 +22,13 @@
 	shed: 'the instances that it was sent to refused it, and the route allowed no further attempt',
 	retry_budget: 'an instance refused it and the host had used up its share of the retry budget',
 	timeout: 'its deadline expired',
+	no_common_region: 'no region allows both its route and its account',
 	quarantined: 'requests with its fingerprint crashed two instances',
 	stopping: 'the host was in a planned stop',
 	lost: 'the connection to the instance was lost after it was sent; it may have run',
 	broken: 'the response of the instance was invalid; it may have run',
 	cancelled: 'the client closed its connection',
+	unauthorized: 'its route is not public and it carries no key, or none of the accounts\' keys in force',
 	no_route: 'no route of the configuration in force matches it',
 	no_request_id: 'it has no request id',
 	body_too_large: 'its body exceeds the size limit',
@@ -64,7 +67,7 @@
 function describeEnding(line: LogLine): string | undefined {
 	if (line.message === 'request ended without an answer of an instance') {
 		const reason = String(line.reason);
-		return `${String(line.outcome)} at ${line.host} after ${String(line.tookMs)} ms: ${reasonDescriptions[reason] ?? reason}`;
+		return `${String(line.outcome)} at ${line.host} after ${String(line.tookMs)} ms: ${reasonDescriptions[reason] ?? reason}${describeFigures(line.figures)}`;
 	}
 
 	if (line.message === 'a response that an instance began was not delivered whole') {
@@ -74,3 +77,10 @@
 
 	return line.message.startsWith('request answered') ? `${line.message} with status ${String(line.status)} of ${String(line.instance)} by ${line.host} after ${String(line.tookMs)} ms` : undefined;
 }
+
+/** Returns the inputs that determined a refusal, in brackets. */
+function describeFigures(figures: unknown): string {
+	const parsed = Figures.safeParse(figures);
+	const parts = Object.entries(parsed.data ?? {}).map(([name, value]) => `${name} ${value}`);
+	return parts.length === 0 ? '' : ` (${parts.join(', ')})`;
+}
--- a/src/contracts/http-dialect.ts
+++ b/src/contracts/http-dialect.ts
@@ -40,5 +40,7 @@
 	readonly replacedHeaders: ReadonlySet<string>;
 	/** Lower-case names of the request headers that carry an account's key or name. They are not passed on if the configuration has accounts. */
 	readonly identityHeaders: ReadonlySet<string>;
+	/** Headers of the response to a request without a known key, as alternating names and values; status 401 requires them (RFC 9110, section 15.5.2). */
+	readonly challenge: readonly string[];
 	readonly readResponse: (status: number, headers: ReadonlyMap<string, string>) => InstanceResponseInfo;
 };
--- a/src/services/ingress-service.ts
+++ b/src/services/ingress-service.ts
@@ -314,7 +314,7 @@
 			}
 
 			case 'invalid': {
-				this.#sendResponse(served, {status: statusOfInvalid(outcome.reason), headers: []});
+				this.#sendResponse(served, {status: statusOfInvalid(outcome.reason), headers: outcome.reason === 'unauthorized' ? this.#options.dialect.challenge : []});
 				break;
 			}
 		}
--- a/src/services/request-log.test.ts
+++ b/src/services/request-log.test.ts
@@ -5,8 +5,10 @@
 import {RequestLog} from './request-log.js';
 
 const route: Route = {
-	name: 'read', host: 'shop.example', prefix: '/read/', isRepeatable: true, timeoutMs: 1000, targetMs: 200, priority: 1, targets: [], maxAttempts: 2, hasAffinity: true, allowedRegions: [], isPublic: false,
+	name: 'read', host: 'shop.example', prefix: '/read/', isRepeatable: true, isPublic: false, timeoutMs: 1000,
+	targetMs: 200, priority: 1, targets: [], maxAttempts: 2, hasAffinity: true, allowedRegions: [],
 };
+const admission: Parameters<RequestLog['logEnd']>[0]['admission'] = {kind: 'refused', account: undefined, outcome: {kind: 'invalid', reason: 'no_route'}};
 const answer: InstanceResult & {kind: 'whole'} = {
 	kind: 'whole', status: 200, headers: [], framing: 'length', body: new Uint8Array(), info: {
 		requestId: 'r', isSigned: true, isNotRun: false, isMisdirected: false, instanceId: undefined, isLeaving: false, pauseMs: undefined, load: undefined,
@@ -25,7 +27,7 @@
 	const log = new RequestLog(logger);
 	const logAnswer = (requestId: string, failedSends: number, tookMs = 20) => {
 		log.logEnd({
-			requestId, route, admission: undefined, tookMs, outcome: {
+			requestId, route, admission, tookMs, outcome: {
 				kind: 'answer', result: answer, instanceId: 'i-2', expectedWaitMs: 0, failedSends,
 			},
 		});
--- a/src/services/request-log.ts
+++ b/src/services/request-log.ts
@@ -9,8 +9,7 @@
 type EndedRequest = {
 	readonly requestId: string | undefined;
 	readonly route: Route | undefined;
-	/** `undefined` if the request was not checked, for lack of a configuration or a route. */
-	readonly admission: ReturnType<AccountCheck['admit']> | undefined;
+	readonly admission: ReturnType<AccountCheck['admit']>;
 	readonly outcome: ProxyOutcome;
 	readonly tookMs: number;
 };
@@ -45,13 +44,19 @@
 		const fields = {
 			request: requestId,
 			route: route?.name,
-			account: admission?.account?.name,
-			priority: admission?.kind === 'admitted' ? admission.priority : route?.priority,
+			account: admission.account?.name,
+			priority: admission.kind === 'admitted' ? admission.priority : route?.priority,
 			targetMs: route?.targetMs,
 			tookMs: Math.round(tookMs),
 		};
 		if (outcome.kind !== 'answer') {
-			this.#logger.limited('request ended without an answer of an instance', {...fields, outcome: outcome.kind, reason: outcome.reason, ...('figures' in outcome && {figures: outcome.figures})});
+			this.#logger.limited('request ended without an answer of an instance', {
+				...fields,
+				outcome: outcome.kind,
+				reason: outcome.reason,
+				...(outcome.kind === 'not_run' && {retryAfterMs: Math.round(outcome.retryAfterMs)}),
+				...('figures' in outcome && outcome.figures !== undefined && {figures: outcome.figures}),
+			});
 			return;
 		}
 
