Measurement of account identification

npm run measure -- accounts: processor time to identify a request's account and bytes for each key, at 100 and 100,000 keys.

--- a/tools/measure.ts
+++ b/tools/measure.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 import meow from 'meow';
+import {measureAccounts} from './measure-accounts.js';
 import {measureBlocks} from './measure-blocks.js';
 import {measureConfig} from './measure-config.js';
 import {measureFlood} from './measure-flood.js';
@@ -15,6 +16,7 @@
 	members: measureMembers,
 	stop: measureStop,
 	blocks: measureBlocks,
+	accounts: measureAccounts,
 	flood: async () => measureFlood('leastUrgent'),
 	'urgent-flood': async () => measureFlood('mostUrgent'),
 	shift: async () => measureShift('overload'),
