--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -6,8 +6,10 @@
 import {type Placement} from '../decisions/placement.js';
 import {type RetryShare} from '../decisions/retry-share.js';
 import {type SeededRandom} from '../decisions/seeded-random.js';
+import {scopedObjectKey} from '../decisions/scoped-object-key.js';
 import {isOverBefore} from '../decisions/is-over-before.js';
 import {RequestAttempts} from '../decisions/request-attempts.js';
+import {AccountCheck} from './accounts/account-check.js';
 import {fingerprintOf} from './fingerprint-of.js';
 import {type Logger} from './logger.js';
 import {type LoopTurns} from './loop-turns.js';
@@ -20,6 +22,9 @@
 import {RequestLog} from './request-log.js';
 import {type AttemptObserver} from './attempt-observer.js';
 import {type SteeringService} from './steering-service.js';
+import {toAttemptResult} from './to-attempt-result.js';
+import {toCallBody} from './to-call-body.js';
+import {toUnknownReason} from './to-unknown-reason.js';
 
 type ProxyOptions = {
 	readonly clock: Clock;
@@ -44,8 +49,10 @@
 /** State of one request across its attempts. */
 type RequestContext = {
 	readonly req: ProxyRequest;
-	readonly route: Route;
+	readonly admission: Admitted;
 	readonly service: string;
+	/** Scoped key of the object that the request concerns. */
+	readonly objectKey: string | undefined;
 	readonly body: SendableBody;
 	readonly fingerprint: string;
 	readonly deadlineMs: number;
@@ -53,8 +60,11 @@
 	readonly triedInstanceIds: Set<string>;
 };
 
-type ReadBody = Awaited<ReturnType<ProxyRequest['readBody']>>;
-type SendableBody = Extract<ReadBody, {kind: 'none' | 'whole' | 'stream'}>;
+type Admission = ReturnType<AccountCheck['admit']>;
+type Admitted = Extract<Admission, {kind: 'admitted'}>;
+/** What determined a refusal for lack of capacity: by how much the expected wait is too long, the time until the deadline, and the usual run time. */
+type BusyFigures = {readonly excessWaitMs: number; readonly remainingMs: number; readonly usualRunMs: number};
+type SendableBody = Parameters<typeof toCallBody>[0];
 type InstanceEntry = NonNullable<ReturnType<InstanceTable['get']>>;
 
 /** Request bodies up to this size are buffered, so that they can be sent again. */
@@ -75,6 +85,7 @@
 export class ProxyService {
 	readonly #options: ProxyOptions;
 	readonly #requestLog: RequestLog;
+	readonly #accounts: AccountCheck;
 	#inFlight = 0;
 	/** End of a planned stop, in monotonic milliseconds. */
 	#finishByMs = Number.POSITIVE_INFINITY;
@@ -82,6 +93,7 @@
 	constructor(options: ProxyOptions) {
 		this.#options = options;
 		this.#requestLog = new RequestLog(options.logger);
+		this.#accounts = new AccountCheck(options.metrics);
 	}
 
 	/** Number of requests without an outcome yet. */
@@ -102,13 +114,14 @@
 			// The end of the client's connection may already have arrived, too, if the request was read late.
 			await turns.next();
 			const route = this.#matchRoute(req);
-			const outcome = await this.#handle(req, route);
+			const admission = this.#admit(req, route);
+			const outcome = admission.kind === 'refused' ? admission.outcome : await this.#handle(req, admission);
 			const tookMs = clock.nowMs() - req.arrivedMs;
 			const reason = 'reason' in outcome ? outcome.reason : '';
 			metrics.count('proxied_requests', {outcome: outcome.kind, reason});
 			metrics.observe('proxied_seconds', {outcome: outcome.kind}, tookMs);
 			this.#requestLog.logEnd({
-				requestId: req.requestId, route, outcome, tookMs,
+				requestId: req.requestId, route, admission, outcome, tookMs,
 			});
 			return outcome;
 		} finally {
@@ -121,19 +134,25 @@
 		return this.#options.steering.match(req.host, path!);
 	}
 
-	async #handle(req: ProxyRequest, route: Route | undefined): Promise<ProxyOutcome> {
-		const {steering, quarantine} = this.#options;
+	/** Decides whether a request may run, from its head alone. It is called before the traffic split, whose turns are for requests that may run. */
+	#admit(req: ProxyRequest, route: Route | undefined): Admission {
+		const table = this.#options.steering.routes;
 		if (req.disconnect.aborted) {
-			return {kind: 'unknown', reason: 'cancelled'};
+			return refused({kind: 'unknown', reason: 'cancelled'});
 		}
 
-		const table = steering.routes;
 		if (table === undefined) {
-			return {kind: 'not_run', reason: 'not_ready', retryAfterMs: notReadyRetryAfterMs};
+			return refused({kind: 'not_run', reason: 'not_ready', retryAfterMs: notReadyRetryAfterMs});
 		}
 
-		const service = route === undefined ? undefined : steering.nextServiceOf(route);
-		if (route === undefined || service === undefined) {
+		return route === undefined ? refused({kind: 'invalid', reason: 'no_route'}) : this.#accounts.admit(req, route, table);
+	}
+
+	async #handle(req: ProxyRequest, admission: Admitted): Promise<ProxyOutcome> {
+		const {steering, quarantine} = this.#options;
+		const {route, table} = admission;
+		const service = steering.nextServiceOf(route);
+		if (service === undefined) {
 			return {kind: 'invalid', reason: 'no_route'};
 		}
 
@@ -155,6 +174,12 @@
 			return {kind: 'invalid', reason: 'broken_off'};
 		}
 
+		// The account may have lost its key while the request waited or its body arrived.
+		const latest = steering.routes === table ? admission : this.#accounts.admit(req, route, steering.routes!);
+		if (latest.kind === 'refused') {
+			return latest.outcome;
+		}
+
 		const fingerprint = fingerprintOf({
 			service, method: req.method, path: req.target, body: body.kind === 'whole' ? body.bytes : undefined,
 		});
@@ -163,16 +188,18 @@
 		}
 
 		this.#options.retries.recordRequest(service, this.#options.clock.nowMs());
-		if (route.hasAffinity && req.objectKey !== undefined) {
+		const objectKey = req.objectKey === undefined ? undefined : scopedObjectKey.of(req.objectKey, latest.allowedRegions, route.allowedRegions);
+		if (route.hasAffinity) {
 			this.#options.planner.recordRequest({
-				service, route: route.prefix, priority: route.priority, objectKey: req.objectKey, allowedRegions: route.allowedRegions,
+				service, route: route.prefix, priority: latest.priority, objectKey, allowedRegions: latest.allowedRegions,
 			});
 		}
 
 		return this.#sendUntilAnswered({
 			req,
-			route,
+			admission: latest,
 			service,
+			objectKey,
 			body,
 			fingerprint,
 			deadlineMs: req.arrivedMs + Math.min(req.remainingMs ?? Number.POSITIVE_INFINITY, route.timeoutMs),
@@ -206,11 +233,13 @@
 			}
 
 			if (choice.kind === 'busy') {
-				return this.#outcomeWithoutResponse(attempts, lastResult, 'busy', choice.excessMs);
+				return this.#outcomeWithoutResponse(attempts, lastResult, 'busy', {
+					excessWaitMs: Math.round(choice.excessMs), remainingMs: Math.round(deadlineMs - nowMs), usualRunMs: Math.round(observer.runMs(service, context.admission.route)),
+				});
 			}
 
 			if (!isOverBefore({
-				startMs: nowMs, waitMs: choice.waitMs, usualRunMs: observer.runMs(service, context.route), endMs: this.#finishByMs,
+				startMs: nowMs, waitMs: choice.waitMs, usualRunMs: observer.runMs(service, context.admission.route), endMs: this.#finishByMs,
 			})) {
 				return this.#outcomeWithoutResponse(attempts, lastResult, 'stopping');
 			}
@@ -241,13 +270,14 @@
 
 	#choose(context: RequestContext, nowMs: number): ReturnType<Placement['choose']> {
 		const {placement, steering, observer, coldLimitPerSecond} = this.#options;
-		const {req, route, service, triedInstanceIds, deadlineMs} = context;
+		const {admission, service, objectKey, triedInstanceIds, deadlineMs} = context;
+		const {route, priority, allowedRegions} = admission;
 		return placement.choose({
 			service,
-			objectKey: route.hasAffinity ? req.objectKey : undefined,
-			priority: route.priority,
+			objectKey: route.hasAffinity ? objectKey : undefined,
+			priority,
 			isRepeatable: route.isRepeatable,
-			allowedRegions: route.allowedRegions,
+			allowedRegions,
 			avoid: triedInstanceIds,
 			coldPerSecond: coldLimitPerSecond(steering.routes?.services.get(service)?.coldPerSecond ?? 0),
 			remainingMs: deadlineMs - nowMs,
@@ -257,11 +287,11 @@
 
 	async #send(context: RequestContext, entry: InstanceEntry, expectedWaitMs: number): Promise<InstanceResult> {
 		const {clock, client, observer, notices} = this.#options;
-		const {req, route, body, service, deadlineMs} = context;
+		const {req, admission, body, service, objectKey, deadlineMs} = context;
 		const {id, address} = entry.instance;
 		const remainingMs = Math.max(1, deadlineMs - clock.nowMs());
 		const recordEnd = observer.recordStart({
-			service, route, objectKey: req.objectKey, entry, expectedWaitMs,
+			service, route: admission.route, priority: admission.priority, objectKey, entry, expectedWaitMs,
 		});
 		const result = await client.send({
 			address,
@@ -270,6 +300,8 @@
 			method: req.method,
 			target: req.target,
 			headers: req.headers,
+			hidesIdentity: admission.hidesIdentity,
+			accountName: admission.account?.name,
 			body: toCallBody(body),
 			remainingMs,
 			onHead(info) {
@@ -299,72 +331,18 @@
 	}
 
 	/** Returns the outcome of a request without a response: `not_run` only if it is certain that no attempt ran, otherwise `unknown`. */
-	#outcomeWithoutResponse(attempts: RequestAttempts, lastResult: InstanceResult | undefined, reason: keyof typeof baseRetryAfterMs, excessMs = 0): ProxyOutcome {
+	#outcomeWithoutResponse(attempts: RequestAttempts, lastResult: InstanceResult | undefined, reason: keyof typeof baseRetryAfterMs, busy?: BusyFigures): ProxyOutcome {
 		if (attempts.mayHaveRun) {
 			return {kind: 'unknown', reason: lastResult === undefined || lastResult.kind === 'overdue' ? 'timeout' : toUnknownReason(lastResult)};
 		}
 
-		return {kind: 'not_run', reason, retryAfterMs: Math.min(maxBaseRetryAfterMs, baseRetryAfterMs[reason] + excessMs) * (1 + (retryJitterShare * this.#options.random.next()))};
-	}
-}
-
-function toCallBody(body: SendableBody): Uint8Array | AsyncIterable<Uint8Array> | undefined {
-	switch (body.kind) {
-		case 'whole': {
-			return body.bytes;
-		}
-
-		case 'stream': {
-			return body.source;
-		}
-
-		case 'none': {
-			return undefined;
-		}
+		const baseMs = Math.min(maxBaseRetryAfterMs, baseRetryAfterMs[reason] + (busy?.excessWaitMs ?? 0));
+		return {
+			kind: 'not_run', reason, figures: busy, retryAfterMs: baseMs * (1 + (retryJitterShare * this.#options.random.next())),
+		};
 	}
 }
 
-function toAttemptResult(result: InstanceResult): Parameters<RequestAttempts['recordResult']>[0] {
-	switch (result.kind) {
-		case 'whole':
-		case 'partial': {
-			return 'answered';
-		}
-
-		case 'not_run': {
-			return 'rejected';
-		}
-
-		case 'not_sent': {
-			return 'not_sent';
-		}
-
-		case 'broken':
-		case 'lost':
-		case 'overdue':
-		case 'cancelled': {
-			return 'unknown';
-		}
-	}
-}
-
-function toUnknownReason(result: InstanceResult): Extract<ProxyOutcome, {kind: 'unknown'}>['reason'] {
-	switch (result.kind) {
-		case 'cancelled': {
-			return 'cancelled';
-		}
-
-		case 'broken': {
-			return 'broken';
-		}
-
-		case 'whole':
-		case 'partial':
-		case 'not_run':
-		case 'not_sent':
-		case 'lost':
-		case 'overdue': {
-			return 'lost';
-		}
-	}
+function refused(outcome: Extract<Admission, {kind: 'refused'}>['outcome']): Admission {
+	return {kind: 'refused', account: undefined, outcome};
 }
