A host's entry in the store may state its size

Callers saw: hosts that differ 7-fold in processor and 20-fold in link got the same number of connections, since no host knew what the others can bear. The platform's names of the limits are added to the lint rule.

--- a/lint/platform-names.js
+++ b/lint/platform-names.js
@@ -34,6 +34,10 @@
 	'op/config',
 	'op/evacuate',
 	'COWSLIPSPAR_BOOT',
+	'cpu_share',
+	'memory_mb',
+	'max_fds',
+	'link_mbps',
 ];
 const pattern = new RegExp(names.map(name => name.replaceAll(/[-/]/g, String.raw`\$&`)).join('|'), 'i');
 
--- a/src/contracts/listed-host.ts
+++ b/src/contracts/listed-host.ts
@@ -1,3 +1,5 @@
+import {type HostSize} from './host-size.js';
+
 /** Entry of a host in the platform's list. */
 export type ListedHost = {
 	/** IPv4 address and port. */
@@ -6,4 +8,6 @@
 	readonly state: 'live' | 'leaving';
 	readonly region: string;
 	readonly zone: string;
+	/** `undefined` if the host does not know its size, or runs an earlier release. */
+	readonly size?: HostSize;
 };
