Members tell how busy their host is

Cause: the directory's host cannot know the load of other hosts. Change: a member update has an optional last field, a level from 0 to 3, absent for 0; a change is a new incarnation, an unchanged level sends nothing. Earlier releases ignore the field. Tests: levels reach 12 members at 20% loss and end with the process; one byte on the wire, none for level 0; passed.

--- a/src/contracts/member-update.ts
+++ b/src/contracts/member-update.ts
@@ -9,6 +9,8 @@
 	status: z.enum(['alive', 'suspect', 'dead']),
 	/** Whether the member is in a planned stop: it still serves requests, but is not selected for new roles. */
 	isLeaving: z.boolean(),
+	/** How busy the member's host is, from 0 for a host with room; absent stands for 0, also from earlier releases. */
+	busyLevel: z.int().min(0).max(255).optional(),
 });
 
 /** Update about one member. */
--- a/src/decisions/member-table.ts
+++ b/src/decisions/member-table.ts
@@ -100,6 +100,12 @@
 		return key === memberKey(this.#self.member) ? this.#self.isLeaving : this.#entries.get(key)?.isLeaving ?? false;
 	}
 
+	/** Returns how busy a member's host is; 0 if it is unknown. */
+	busyLevelOf(key: string): number {
+		const update = key === memberKey(this.#self.member) ? this.#self : this.#entries.get(key);
+		return update?.busyLevel ?? 0;
+	}
+
 	/** Replaces the entry of this member. */
 	setSelf(update: MemberUpdate): void {
 		this.#updateHash(this.#self, update);
@@ -145,9 +151,8 @@
 }
 
 function toUpdate(entry: Entry): MemberUpdate {
-	return {
-		member: entry.member, incarnation: entry.incarnation, status: entry.status, isLeaving: entry.isLeaving,
-	};
+	const {changedMs, ...update} = entry;
+	return update;
 }
 
 /**
--- a/src/decisions/membership.test.ts
+++ b/src/decisions/membership.test.ts
@@ -142,6 +142,41 @@
 		});
 	});
 
+	describe('busy levels', () => {
+		it('reach all members, also at datagram loss, and end with the process', () => {
+			const network = new SimulatedNetwork({regions: {dsm: 12}, seed: 21, loss: 0.2});
+			network.run(15_000);
+			const key = () => `dsm-3/${network.nodes[3]!.membership.self.boot}`;
+			const levels = () => new Set(network.nodes.map(node => node.membership.busyLevelOf(key())));
+			network.act(3, membership => membership.setBusyLevel(2));
+			network.run(10_000);
+			expect(levels()).toEqual(new Set([2]));
+			network.act(3, membership => membership.setBusyLevel(0));
+			network.run(10_000);
+			expect(levels()).toEqual(new Set([0]));
+			network.act(3, membership => membership.setBusyLevel(3));
+			network.run(10_000);
+			network.kill(3);
+			network.restart(3);
+			network.run(detectionMs);
+			expect(levels()).toEqual(new Set([0]));
+		});
+
+		it('stay when a member leaves or refutes a suspicion, and send nothing if they are as before', () => {
+			const network = new SimulatedNetwork({regions: {dsm: 4}, seed: 22});
+			network.run(10_000);
+			const {membership} = network.nodes[1]!;
+			network.act(1, () => membership.setBusyLevel(1));
+			expect(membership.setBusyLevel(1)).toEqual([]);
+			network.leave(1);
+			network.act(0, other => other.recordRefusedConnection(`dsm-1/${membership.self.boot}`, network.nowMs));
+			network.run(5000);
+			for (const node of network.nodes) {
+				expect(node.membership.busyLevelOf(`dsm-1/${membership.self.boot}`)).toBe(1);
+			}
+		});
+	});
+
 	describe('random faults', () => {
 		const Step = fc.record({
 			kind: fc.constantFrom('kill', 'restart', 'freeze', 'wake', 'cut', 'join', 'run'),
--- a/src/decisions/membership.ts
+++ b/src/decisions/membership.ts
@@ -199,6 +199,23 @@
 		this.#regions.setListedAddresses(foreign);
 	}
 
+	/** Returns how busy the host of a member of the region is: 0 for one with room, or if it is unknown. */
+	busyLevelOf(key: string): number {
+		return this.#table.busyLevelOf(key);
+	}
+
+	/** Announces how busy this host is, from 0 for a host with room; sends nothing if the level is the present one. */
+	setBusyLevel(level: number): MembershipEffect[] {
+		const {self} = this.#table;
+		if (level === (self.busyLevel ?? 0)) {
+			return [];
+		}
+
+		// Level 0 is the absence of the field, which makes the update of a host with room as short as before.
+		this.#setSelfUpdate({...self, incarnation: self.incarnation + 1, busyLevel: level === 0 ? undefined : level});
+		return [{kind: 'changed'}, ...this.#sendUpdates()];
+	}
+
 	/** Announces a planned stop, or its cancellation. */
 	setLeaving(isLeaving: boolean): MembershipEffect[] {
 		this.#setSelf(this.incarnation + 1, isLeaving);
@@ -511,8 +528,12 @@
 	}
 
 	#setSelf(incarnation: number, isLeaving: boolean): void {
-		this.#table.setSelf({...this.#table.self, incarnation, isLeaving});
-		this.#queue.add(this.#selfKey, this.#table.self);
+		this.#setSelfUpdate({...this.#table.self, incarnation, isLeaving});
+	}
+
+	#setSelfUpdate(update: MemberUpdate): void {
+		this.#table.setSelf(update);
+		this.#queue.add(this.#selfKey, update);
 	}
 
 	#isPaused(nowMs: number): boolean {
--- a/src/services/gossip-wire.test.ts
+++ b/src/services/gossip-wire.test.ts
@@ -21,6 +21,9 @@
 		kind: 'ping', seq: 1, to: 'x/1', ...common,
 	},
 	{kind: 'ack', seq: 2, ...common},
+	{
+		kind: 'ack', seq: 3, ...common, updates: [{...common.updates[0]!, busyLevel: 2}],
+	},
 	{
 		kind: 'ping-req', seq: 3, target: 'x/1', targetAddress: '127.0.0.1:3', ...common,
 	},
@@ -55,6 +58,12 @@
 		}), {seed: 6, numRuns: 2000});
 	});
 
+	it('adds one byte for a busy host and none for others, and decodes updates of earlier releases, which have no level', () => {
+		const size = (busyLevel: number | undefined) => gossipWire.encode({...messages[1]!, updates: [{...common.updates[0]!, busyLevel}]}).byteLength;
+		expect(size(2) - size(undefined)).toBe(1);
+		expect(gossipWire.decode(gossipWire.encode(messages[1]!))!.updates[0]!.busyLevel).toBeUndefined();
+	});
+
 	it('encodes a ping without updates and summaries in less than 110 bytes', () => {
 		expect(gossipWire.encode({...messages[0]!, updates: [], summaries: []}).byteLength).toBeLessThan(110);
 	});
--- a/src/services/gossip-wire.ts
+++ b/src/services/gossip-wire.ts
@@ -70,13 +70,14 @@
 }
 
 function packUpdate(update: MemberUpdate): unknown[] {
-	return [packMember(update.member), update.incarnation, statuses.indexOf(update.status), update.isLeaving];
+	const {member, incarnation, status, isLeaving, busyLevel} = update;
+	return [packMember(member), incarnation, statuses.indexOf(status), isLeaving, ...(busyLevel === undefined ? [] : [busyLevel])];
 }
 
 function unpackUpdate(fields: readonly unknown[]): Record<string, unknown> {
-	const [member, incarnation, status, isLeaving] = fields;
+	const [member, incarnation, status, isLeaving, busyLevel] = fields;
 	return {
-		member: unpackMember(member as unknown[]), incarnation, status: statuses[status as number], isLeaving,
+		member: unpackMember(member as unknown[]), incarnation, status: statuses[status as number], isLeaving, ...(busyLevel !== undefined && {busyLevel}),
 	};
 }
 
