The directory names hosts in proportion to their capacity

Callers saw: the smallest of ten hosts got 11 times its part of the connections (trial in virtual time), while large ones had room. Cause: an answer had all hosts of the zone, and clients pick one at random. Change: where the hosts of a zone differ in size, a client's address selects some of them by Pareto sampling with permanent random numbers (Rosén 1997): over many addresses a host is in a share of the answers in proportion to its capacity, and an address gets the same answer from every host, each time. Capacity is the smaller share of the region's processor time and bandwidth, reduced by the busy level, which HostLoadMonitor derives from the event loop and the connections. Zones of equal hosts, of up to three hosts, or without known sizes are answered as before. Metrics directory_answers, host_load, host_busy_level; a log line for changed shares and levels. Unit tests of capacities, selection, monitor and directory, and five daemons with a store.

--- a/src/kernel/registry.ts
+++ b/src/kernel/registry.ts
@@ -24,6 +24,7 @@
 import {type QuarantineService} from '../services/quarantine-service.js';
 import {type Readiness} from '../services/readiness.js';
 import {type ReplicaService} from '../services/replica-service.js';
+import {type HostLoadMonitor} from '../services/host-load-monitor.js';
 import {type HostListService} from '../services/host-list-service.js';
 import {type RouteService} from '../services/route-service.js';
 import {type ShiftService} from '../services/shift-service.js';
@@ -69,5 +70,6 @@
 	readonly proxy: ProxyService;
 	readonly ingress: IngressService;
 	readonly directory: DirectoryService;
+	readonly hostLoad: HostLoadMonitor;
 	readonly readiness: Readiness;
 };
--- a/src/services/ingress-service.ts
+++ b/src/services/ingress-service.ts
@@ -83,6 +83,11 @@
 		this.setLimits(initialLimits);
 	}
 
+	/** Number of open connections on which a client has sent a request. */
+	get connections(): number {
+		return this.#pipelines.size;
+	}
+
 	/** Starts listening. */
 	async start(lifecycle: Lifecycle): Promise<void> {
 		await listenAt(this.#server, this.#options.address, maxWaitingConnections);
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -1,6 +1,7 @@
 import {randomBytes} from 'node:crypto';
 import {InstanceClient} from './adapters/instance-client.js';
 import {monotonicClock} from './adapters/monotonic-clock.js';
+import {hostSizeOf} from './config/host-size-of.js';
 import {type SteeringSettings} from './config/steering-settings.js';
 import {type Clock} from './contracts/clock.js';
 import {type HttpDialect} from './contracts/http-dialect.js';
@@ -19,6 +20,7 @@
 import {StoreOutage} from './decisions/store-outage.js';
 import {Kernel} from './kernel/kernel.js';
 import {DirectoryService} from './services/directory-service.js';
+import {HostLoadMonitor} from './services/host-load-monitor.js';
 import {serveHttp} from './services/http-service.js';
 import {IngressService} from './services/ingress-service.js';
 import {Logger} from './services/logger.js';
@@ -90,7 +92,7 @@
 	const kernel = new Kernel();
 	addInfrastructure(kernel, settings, platform, self);
 	addReplicatedState(kernel, settings, platform, seed);
-	addMembership(kernel, platform, self, seed);
+	addMembership(kernel, platform, {self, size: hostSizeOf(settings.capacity), seed});
 	addRequestPath(kernel, settings, platform, seed);
 	addServers(kernel, settings);
 	return kernel;
@@ -164,9 +166,9 @@
 		});
 }
 
-function addMembership(kernel: Kernel, platform: SteeringPlatform, self: Member, seed: number): void {
+function addMembership(kernel: Kernel, platform: SteeringPlatform, {self, size, seed}: {readonly self: Member; readonly size: ListedHost['size']; readonly seed: number}): void {
 	const entry: ListedHost = {
-		address: self.peers, role: 'entry', state: 'live', region: self.region, zone: self.zone,
+		address: self.peers, role: 'entry', state: 'live', region: self.region, zone: self.zone, size,
 	};
 	kernel
 		.add({
@@ -311,8 +313,24 @@
 function addServers(kernel: Kernel, settings: SteeringSettings): void {
 	kernel
 		.add({
-			name: 'directory', requires: ['members'],
-			start: ({get}) => new DirectoryService({members: get('members'), ttlMs: directoryTtlMs}),
+			name: 'directory', requires: ['members', 'steering', 'logger', 'metrics'],
+			start: ({get}) => new DirectoryService({
+				members: get('members'), steering: get('steering'), logger: get('logger'), metrics: get('metrics'), ttlMs: directoryTtlMs,
+			}),
+		})
+		.add({
+			name: 'hostLoad', requires: ['clock', 'logger', 'metrics', 'members', 'ingress', 'instanceClient'], start({get, lifecycle}) {
+				const monitor = new HostLoadMonitor({
+					clock: get('clock'),
+					logger: get('logger'),
+					metrics: get('metrics'),
+					members: get('members'),
+					countConnections: () => get('ingress').connections + get('instanceClient').connections,
+					maxDescriptors: settings.capacity?.maxDescriptors,
+				});
+				monitor.start(lifecycle);
+				return monitor;
+			},
 		})
 		.add({
 			name: 'stop', requires: ['clock', 'logger', 'members', 'proxy', 'ingress'],
--- a/test/steering-daemon.test.ts
+++ b/test/steering-daemon.test.ts
@@ -461,5 +461,26 @@
 			store.setFaults({});
 			await other.close();
 		});
+
+		it('learn each other\'s size from the store and how busy each is by gossip, and name a small host to fewer clients', async () => {
+			const cpuShares = [0.1, 0.5, 0.5, 0.7];
+			const others = await Promise.all(cpuShares.map(async cpuShare => startSteeringDaemon(storeAddress, {cpuShare})));
+			const [small, last] = [others[0]!, others.at(-1)!];
+			const directory = last.kernel.get('directory');
+			const countNamed = (host: string) => Array.from({length: 200}, (_, index) => directory.resolve('dsm-a', `10.0.0.${index}`).addresses)
+				.filter(addresses => addresses.includes(`${host}:8381`)).length;
+			const idOf = (host: string) => `edge-${host.replaceAll('.', '-')}`;
+			await until(() => last.kernel.get('members').membership.candidates().length === 5 && last.kernel.get('steering').hosts.size === 5);
+			await until(() => last.kernel.get('steering').hosts.get(idOf(small.host))?.size !== undefined);
+			expect(last.kernel.get('steering').hosts.get(idOf(small.host))?.size).toEqual({processor: 0.2, linkMbps: 70});
+			expect(last.kernel.get('steering').hosts.get(idOf(daemon.host))?.size).toBeUndefined();
+			const usual = countNamed(small.host);
+			expect(usual).toBeLessThan(0.5 * countNamed(others[1]!.host));
+			const {membership} = others[1]!.kernel.get('members');
+			others[1]!.kernel.get('members').run(membership.setBusyLevel(3));
+			await until(() => last.kernel.get('members').membership.busyLevelOf(`${membership.self.id}/${membership.self.boot}`) === 3);
+			expect(countNamed(others[1]!.host)).toBeLessThan(countNamed(others[2]!.host));
+			await Promise.all(others.map(async other => other.close()));
+		});
 	});
 });
