The forecast of wait and run follows an instance's present speed

Callers saw: requests were sent to instances whose machine was three times slower at that moment, and missed their target. Cause: the fourth figure of the reported load was dropped. Change: the figure is decoded to a time factor (1 to 10,000 percent, else ignored). Placement uses it for the time that a run takes, and sends a request without an object to the better of two random instances if it is expected to end there within its target. Run times are divided by the momentary part of the factor before they count as learned slowness, so that it is not counted twice. Instances without the figure are treated as before. Log lines of answers have expectedRunMs. The tests that build a PlacementRequest state a target, which is a new field; their assertions are unchanged.

--- a/src/contracts/http-dialect.ts
+++ b/src/contracts/http-dialect.ts
@@ -25,8 +25,11 @@
 	readonly isLeaving: boolean;
 	/** Time in milliseconds for which the instance wants no more requests from this host; `undefined` if it states none. */
 	readonly pauseMs: number | undefined;
-	/** Load that the instance reports: requests that run and that wait, and its slots. */
-	readonly load: {readonly running: number; readonly waiting: number; readonly slots: number} | undefined;
+	/**
+	 * Load that the instance reports: requests that run and that wait, its slots and, from some instances, how many times as long as usual
+	 * work takes on its machine at this moment.
+	 */
+	readonly load: {readonly running: number; readonly waiting: number; readonly slots: number; readonly timeFactor?: number} | undefined;
 };
 
 /** Translates between the platform's HTTP headers and typed values; only its implementation contains the names of these headers. */
--- a/src/decisions/overload.test.ts
+++ b/src/decisions/overload.test.ts
@@ -80,7 +80,16 @@
 	function send(index: number, arrivedMs: number): void {
 		const {placement} = hosts[index]!;
 		const choice = placement.choose({
-			service: 's', objectKey: `k${random.below(20)}`, priority: 0, isRepeatable: true, allowedRegions: [], avoid: new Set(), coldPerSecond: 0, remainingMs: timeoutMs, runMs,
+			service: 's',
+			objectKey: `k${random.below(20)}`,
+			priority: 0,
+			isRepeatable: true,
+			allowedRegions: [],
+			avoid: new Set(),
+			coldPerSecond: 0,
+			remainingMs: timeoutMs,
+			targetMs: timeoutMs,
+			runMs,
 		}, arrivedMs);
 		if (choice.kind !== 'instance') {
 			counts.refused++;
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -48,17 +48,22 @@
 	readonly coldPerSecond: number;
 	/** Time until the deadline, in milliseconds. */
 	readonly remainingMs: number;
-	/** Usual run time of the route's requests, in milliseconds. */
+	/** Time from now within which the route's requests should end, in milliseconds. */
+	readonly targetMs: number;
+	/** Usual run time of the route's requests, in milliseconds, at an instance whose machine is as fast as usual. */
 	readonly runMs: number;
 };
 
-/** Instance to send a request to, with the expected wait there; `busy` if the wait would be `excessMs` longer than allowed; `paused` if all instances asked for a pause, with the shortest rest of one; `none` if no instance is usable. Times are in milliseconds. */
+/** Instance to send a request to, with the expected wait and run there; `busy` if the wait would be `excessMs` longer than allowed; `paused` if all instances asked for a pause, with the shortest rest of one; `none` if no instance is usable. Times are in milliseconds. */
 type PlacementChoice =
-	| {readonly kind: 'instance'; readonly entry: Candidate; readonly waitMs: number; readonly isCold: boolean}
+	| {readonly kind: 'instance'; readonly entry: Candidate; readonly waitMs: number; readonly runMs: number; readonly isCold: boolean}
 	| {readonly kind: 'busy'; readonly excessMs: number}
 	| {readonly kind: 'paused'; readonly pauseMs: number}
 	| {readonly kind: 'none'};
 
+/** An instance with the expected wait there, in milliseconds. */
+type WaitingOption = {readonly entry: Candidate; readonly waitMs: number};
+
 /** Maximum wait of a request at an instance that more urgent requests need too, as a share of their target time. */
 const maxWaitTargetShare = 0.25;
 
@@ -88,24 +93,25 @@
 		}
 
 		const waitMs = this.#waitMs(preferred, nowMs);
-		const excessMs = waitMs - this.#allowedWaitMs(preferred, allowed, req);
+		const excessMs = waitMs - this.#allowedWaitMs({entry: preferred, waitMs}, allowed, req, nowMs);
 		if (excessMs <= 0) {
 			return this.#take(preferred, waitMs, req, nowMs);
 		}
 
-		const other = isMostUrgent(req.priority, this.#options.prioritiesOf(req.service)) ? this.#leastWaiting(allowed, req, nowMs) : undefined;
+		const other = isMostUrgent(req.priority, this.#options.prioritiesOf(req.service)) ? this.#soonestEnding(allowed, req, nowMs) : undefined;
 		const choice = other === undefined ? undefined : this.#take(other.entry, other.waitMs, req, nowMs);
 		return choice?.kind === 'instance' ? choice : {kind: 'busy', excessMs};
 	}
 
-	/** Returns the instance of the own region with the shortest expected wait among those where the request may wait that long. */
-	#leastWaiting(allowed: readonly Candidate[], req: PlacementRequest, nowMs: number): {readonly entry: Candidate; readonly waitMs: number} | undefined {
-		const [least] = allowed
+	/** Returns the instance of the own region where the request is expected to end first among those where it may wait as long as is expected. */
+	#soonestEnding(allowed: readonly Candidate[], req: PlacementRequest, nowMs: number): WaitingOption | undefined {
+		const [soonest] = allowed
 			.filter(entry => entry.region === this.#options.region && this.#isUsable(entry, req, nowMs))
 			.map(entry => ({entry, waitMs: this.#waitMs(entry, nowMs)}))
-			.filter(({entry, waitMs}) => waitMs <= this.#allowedWaitMs(entry, allowed, req))
-			.toSorted((a, b) => a.waitMs - b.waitMs);
-		return least;
+			.filter(option => option.waitMs <= this.#allowedWaitMs(option, allowed, req, nowMs))
+			.map(option => ({...option, endMs: option.waitMs + this.#runMs(option.entry, option.waitMs, req, nowMs)}))
+			.toSorted((a, b) => a.endMs - b.endMs);
+		return soonest;
 	}
 
 	/**
@@ -117,12 +123,17 @@
 		return entry.queue.waitMs(Math.max(1, hostsByRegion().get(region) ?? 1), nowMs);
 	}
 
+	/** Forecasts the run time of a request that starts at an instance after a wait, in milliseconds. */
+	#runMs({queue}: Candidate, waitMs: number, {runMs}: PlacementRequest, nowMs: number): number {
+		return runMs * queue.timeFactor(runMs, waitMs, nowMs);
+	}
+
 	/**
 	 * Returns the maximum wait of a request at an instance, in milliseconds: the longest with which its run still ends before
 	 * the deadline, and less where more urgent requests would queue behind it.
 	 */
-	#allowedWaitMs(entry: Candidate, allowed: readonly Candidate[], req: PlacementRequest): number {
-		const slackMs = Math.max(0, req.remainingMs - req.runMs);
+	#allowedWaitMs({entry, waitMs}: WaitingOption, allowed: readonly Candidate[], req: PlacementRequest, nowMs: number): number {
+		const slackMs = Math.max(0, req.remainingMs - this.#runMs(entry, waitMs, req, nowMs));
 		return this.#isNeededByUrgent(entry, allowed, req) ? Math.min(slackMs, maxWaitTargetShare * this.#options.urgentTargetMs(req.service)) : slackMs;
 	}
 
@@ -185,7 +196,30 @@
 	}
 
 	#first(candidates: readonly Candidate[], req: PlacementRequest, nowMs: number): Candidate | undefined {
-		return this.#ordered(candidates, req.objectKey).find(entry => this.#isUsable(entry, req, nowMs));
+		const ordered = this.#ordered(candidates, req.objectKey);
+		const index = ordered.findIndex(entry => this.#isUsable(entry, req, nowMs));
+		const first = ordered[index];
+		return first === undefined || req.objectKey !== undefined ? first : this.#fasterOfTwo(first, ordered.slice(index + 1), req, nowMs);
+	}
+
+	/**
+	 * Returns the next usable instance in place of the first if a request without an object is expected to end there sooner and within
+	 * its target; the first if neither reports how fast its machine is. With two random choices the hosts do not all pick the same
+	 * instance. Without the condition on the target, an overload fills all queues evenly, and nearly all requests miss it.
+	 * Source: Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", IEEE TPDS 12(10), 2001.
+	 */
+	#fasterOfTwo(first: Candidate, others: readonly Candidate[], req: PlacementRequest, nowMs: number): Candidate {
+		const second = others.find(entry => this.#isUsable(entry, req, nowMs));
+		if (second === undefined || !(first.queue.hasTimeFactor || second.queue.hasTimeFactor)) {
+			return first;
+		}
+
+		const endMs = (entry: Candidate) => {
+			const waitMs = this.#waitMs(entry, nowMs);
+			return waitMs + this.#runMs(entry, waitMs, req, nowMs);
+		};
+
+		return endMs(second) < Math.min(endMs(first), req.targetMs) ? second : first;
 	}
 
 	#ordered(candidates: readonly Candidate[], objectKey: string | undefined): Candidate[] {
@@ -216,7 +250,7 @@
 		const isAllowed = !isCold || coldLimiter.take(entry.instance.id, req.coldPerSecond, this.#coldShareOf(entry), nowMs);
 		return isAllowed
 			? {
-				kind: 'instance', entry, waitMs, isCold,
+				kind: 'instance', entry, waitMs, runMs: this.#runMs(entry, waitMs, req, nowMs), isCold,
 			}
 			: {kind: 'none'};
 	}
--- a/src/decisions/route-times.ts
+++ b/src/decisions/route-times.ts
@@ -20,6 +20,11 @@
 		this.#timesMs.set(route, previousMs + (weight * (timeMs - previousMs)));
 	}
 
+	/** Returns whether a time of a route has been recorded. */
+	has(route: string): boolean {
+		return this.#timesMs.has(route);
+	}
+
 	/** Returns the estimate for a route in milliseconds. */
 	get(route: string): number {
 		return this.#timesMs.get(route) ?? initialTimeMs;
--- a/src/decisions/sending.test.ts
+++ b/src/decisions/sending.test.ts
@@ -209,7 +209,7 @@
 			reservationOf: () => undefined,
 		});
 		const decide = (objectKey: string | undefined, fields: Partial<Parameters<Placement['choose']>[0]> = {}, nowMs = 0) => placement.choose({
-			service: 's', objectKey, priority: 0, isRepeatable: true, allowedRegions: [], avoid: new Set(), coldPerSecond: 12, remainingMs: 400, runMs: 150, ...fields,
+			service: 's', objectKey, priority: 0, isRepeatable: true, allowedRegions: [], avoid: new Set(), coldPerSecond: 12, remainingMs: 400, targetMs: 400, runMs: 150, ...fields,
 		}, nowMs);
 		const choose = (...args: Parameters<typeof decide>) => {
 			const choice = decide(...args);
--- a/src/services/attempt-observer.test.ts
+++ b/src/services/attempt-observer.test.ts
@@ -73,4 +73,44 @@
 		expect(runsOf({kind: 'overdue'}, 0)).toEqual([]);
 		expect(runsOf(response(0), 0, {...route, hasAffinity: false})).toEqual([]);
 	});
+
+	describe('of an instance that reports how long work takes', () => {
+		/** Observes 20 usual runs and four slow ones, with these time factors; returns the instances found slow. */
+		function slowAfter(usualFactor: number | undefined, slowFactor: number | undefined): string[] {
+			let nowMs = 0;
+			const table = new InstanceTable({regionOf: new Map([['a-1', 'a']])});
+			table.write({
+				id: 'i', born: 1, service: 's', address: '10.0.0.1:80', zone: 'a-1', slots: 3, isDraining: false, coldMs: 0,
+			}, 0);
+			const slownessEstimator = new SlownessEstimator();
+			const observer = new AttemptObserver({
+				clock: {nowMs: () => nowMs}, metrics: new Metrics(), planner: {slownessEstimator, recordResponseTime: () => undefined, recordRun: () => undefined}, region: 'a',
+			});
+			for (let run = 0; run < 24; run++) {
+				const recordEnd = observer.recordStart({
+					service: 's', route, objectKey: 'k', entry: table.get('i')!, expectedWaitMs: 0,
+				});
+				nowMs += run < 20 ? 100 : 300;
+				const result = response(0);
+				const timeFactor = run < 20 ? usualFactor : slowFactor;
+				const info = {
+					...(result as Extract<InstanceResult, {kind: 'whole'}>).info, load: {
+						running: 1, waiting: 0, slots: 3, ...(timeFactor !== undefined && {timeFactor}),
+					},
+				};
+				recordEnd({...result, info} as InstanceResult);
+			}
+
+			return slownessEstimator.slowInstances(nowMs).map(([id]) => id);
+		}
+
+		it('does not count what the present factor explains as learned slowness, too', () => {
+			expect(slowAfter(undefined, undefined)).toEqual(['i']);
+			expect(slowAfter(1, 3)).toEqual([]);
+		});
+
+		it('still finds slowness that the factor does not explain', () => {
+			expect(slowAfter(1, 1)).toEqual(['i']);
+		});
+	});
 });
--- a/src/services/attempt-observer.ts
+++ b/src/services/attempt-observer.ts
@@ -36,14 +36,17 @@
 export class AttemptObserver {
 	readonly #options: AttemptObserverOptions;
 	readonly #routeTimes = new RouteTimes();
+	/** Time factors of the runs from which `#routeTimes` was learned, by the same estimator, so that both favour the same runs. */
+	readonly #routeFactors = new RouteTimes();
 
 	constructor(options: AttemptObserverOptions) {
 		this.#options = options;
 	}
 
-	/** Returns the usual run time of a route at a service, in milliseconds. */
+	/** Returns the usual run time of a route at a service, in milliseconds, at an instance whose machine is as fast as usual. */
 	runMs(service: string, route: Route): number {
-		return this.#routeTimes.get(routeKey(service, route));
+		const key = routeKey(service, route);
+		return this.#routeTimes.get(key) / (this.#routeTimes.has(key) ? this.#routeFactors.get(key) : 1);
 	}
 
 	/** Records the start of an attempt. The returned function records the result of the attempt and returns its duration in milliseconds. */
@@ -60,9 +63,11 @@
 			const tookMs = nowMs - startMs;
 			metrics.observe('instance_seconds', {service, result: result.kind}, tookMs);
 			entry.health.recordResult(toHealth(result), nowMs);
-			this.#recordTimes({
+			const ended = {
 				...attempt, result, tookMs, nowMs,
-			});
+			};
+			this.#recordTimes(ended);
+			this.#recordSpeed(ended);
 			return tookMs;
 		};
 	}
@@ -76,9 +81,7 @@
 			: undefined;
 	}
 
-	#recordTimes(ended: EndedAttempt): void {
-		const {service, route, objectKey, entry, expectedWaitMs, result, tookMs, nowMs} = ended;
-		this.#recordSpeed(ended);
+	#recordTimes({service, route, objectKey, entry, expectedWaitMs, result, tookMs, nowMs}: EndedAttempt): void {
 		if (!('info' in result)) {
 			return;
 		}
@@ -93,6 +96,7 @@
 		}
 
 		this.#routeTimes.record(routeKey(service, route), Math.max(0, tookMs - expectedWaitMs));
+		this.#routeFactors.record(routeKey(service, route), load?.timeFactor ?? 1);
 		if (load !== undefined) {
 			entry.queue.recordResponse(load, tookMs, expectedWaitMs, nowMs);
 		}
@@ -107,13 +111,16 @@
 		}
 	}
 
-	/** Records a speed sample of an instance in this region. An attempt that was given up counts with its duration, unless a long wait was expected. */
+	/**
+	 * Records a speed sample of an instance in this region, without what its time factor at this moment explains: forecasts use that
+	 * already. An attempt that was given up counts with its duration, unless a long wait was expected.
+	 */
 	#recordSpeed({service, route, objectKey, entry, expectedWaitMs, result, tookMs, nowMs}: EndedAttempt): void {
 		const isEnded = 'info' in result && result.kind !== 'not_run' && (result.info.load?.waiting ?? 0) === 0;
 		const isGivenUp = (result.kind === 'overdue' || result.kind === 'cancelled') && expectedWaitMs < tookMs * longWaitShare;
 		if (this.#isSpeedSample(route, entry) && objectKey !== undefined && (isEnded || isGivenUp)) {
 			this.#options.planner.slownessEstimator.recordRun({
-				instanceId: entry.instance.id, route: routeKey(service, route), objectKey, runMs: tookMs, isEnded,
+				instanceId: entry.instance.id, route: routeKey(service, route), objectKey, runMs: isEnded ? tookMs / entry.queue.momentaryFactor(tookMs, nowMs) : tookMs, isEnded,
 			}, nowMs);
 		}
 	}
--- a/src/services/proxy-outcome.ts
+++ b/src/services/proxy-outcome.ts
@@ -9,6 +9,8 @@
 		readonly instanceId: string;
 		/** Wait for a slot that was expected when the request was sent. */
 		readonly expectedWaitMs: number;
+		/** Run time that was expected when the request was sent. */
+		readonly expectedRunMs: number;
 		/** Number of sends before that brought no answer. */
 		readonly failedSends: number;
 	}
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -183,7 +183,7 @@
 
 	/** Sends the request until an instance responds or no further attempt is allowed. */
 	async #sendUntilAnswered(context: RequestContext): Promise<ProxyOutcome> {
-		const {clock, retries, countHosts, observer, metrics, logger} = this.#options;
+		const {clock, retries, countHosts, metrics, logger} = this.#options;
 		const {req, attempts, service, deadlineMs, triedInstanceIds} = context;
 		let lastResult: InstanceResult | undefined;
 		for (;;) {
@@ -210,7 +210,7 @@
 			}
 
 			if (!isOverBefore({
-				startMs: nowMs, waitMs: choice.waitMs, usualRunMs: observer.runMs(service, context.route), endMs: this.#finishByMs,
+				startMs: nowMs, waitMs: choice.waitMs, usualRunMs: choice.runMs, endMs: this.#finishByMs,
 			})) {
 				return this.#outcomeWithoutResponse(attempts, lastResult, 'stopping');
 			}
@@ -229,7 +229,7 @@
 			if (lastResult.kind === 'whole' || lastResult.kind === 'partial') {
 				attempts.recordResult('answered');
 				return {
-					kind: 'answer', result: lastResult, instanceId: choice.entry.instance.id, expectedWaitMs: choice.waitMs, failedSends: triedInstanceIds.size - 1,
+					kind: 'answer', result: lastResult, instanceId: choice.entry.instance.id, expectedWaitMs: choice.waitMs, expectedRunMs: choice.runMs, failedSends: triedInstanceIds.size - 1,
 				};
 			}
 
@@ -251,6 +251,7 @@
 			avoid: triedInstanceIds,
 			coldPerSecond: coldLimitPerSecond(steering.routes?.services.get(service)?.coldPerSecond ?? 0),
 			remainingMs: deadlineMs - nowMs,
+			targetMs: route.targetMs - (nowMs - req.arrivedMs),
 			runMs: observer.runMs(service, route),
 		}, nowMs);
 	}
--- a/src/services/request-log.test.ts
+++ b/src/services/request-log.test.ts
@@ -26,7 +26,7 @@
 	const logAnswer = (requestId: string, failedSends: number, tookMs = 20) => {
 		log.logEnd({
 			requestId, route, tookMs, outcome: {
-				kind: 'answer', result: answer, instanceId: 'i-2', expectedWaitMs: 0, failedSends,
+				kind: 'answer', result: answer, instanceId: 'i-2', expectedWaitMs: 0, expectedRunMs: 40, failedSends,
 			},
 		});
 	};
--- a/src/services/request-log.ts
+++ b/src/services/request-log.ts
@@ -43,7 +43,12 @@
 		}
 
 		const responseFields = {
-			...fields, status: outcome.result.status, framing: outcome.result.framing, instance: outcome.instanceId, expectedWaitMs: Math.round(outcome.expectedWaitMs),
+			...fields,
+			status: outcome.result.status,
+			framing: outcome.result.framing,
+			instance: outcome.instanceId,
+			expectedWaitMs: Math.round(outcome.expectedWaitMs),
+			expectedRunMs: Math.round(outcome.expectedRunMs),
 		};
 		if (route !== undefined && tookMs > route.targetMs) {
 			this.#logger.limited('request answered late', responseFields);
--- a/stand-ins/platform-instance-stand-in.ts
+++ b/stand-ins/platform-instance-stand-in.ts
@@ -8,6 +8,9 @@
 type Unframed = 'no-length' | 'cut-no-length' | 'cut-chunks';
 type Behaviour = 'answer' | 'shed' | 'pause' | 'misdirect' | 'crash' | 'silent' | 'fail' | 'unsigned' | 'wrong-id' | Unframed;
 
+/** Path at which instances that report how long work takes answer at once. */
+const healthPath = '/healthz';
+
 /** Instance of the platform that records the requests it ran and fails as configured. */
 export class PlatformInstanceStandIn {
 	readonly executedRequests: ExecutedRequest[] = [];
@@ -29,6 +32,8 @@
 	pauseSeconds = '1';
 	/** Reported load: running requests, queued requests and slots. */
 	load = '1,0,3';
+	/** Time that work takes on the instance's machine, in percent of the usual time; not reported while `undefined`. */
+	timePercent: number | undefined;
 	readonly #http = new HttpStandIn((req, res) => {
 		void this.#handle(req, res);
 	});
@@ -54,6 +59,11 @@
 			return;
 		}
 
+		if (this.timePercent !== undefined && req.url === healthPath) {
+			res.writeHead(200, {'X-Server-Load': this.#reportedLoad()}).end();
+			return;
+		}
+
 		if (this.expectedId !== undefined && req.headers['x-expected-instance'] !== this.expectedId) {
 			res.writeHead(421, {'X-Instance-Id': this.expectedId, 'X-Request-Id': requestId}).end();
 			return;
@@ -118,11 +128,15 @@
 
 			case 'answer': {
 				res.writeHead(200, {
-					'X-Request-Id': requestId, 'X-Response-Signature': 's', 'X-Server-Load': this.load, 'X-Kept': 'yes',
+					'X-Request-Id': requestId, 'X-Response-Signature': 's', 'X-Server-Load': this.#reportedLoad(), 'X-Kept': 'yes',
 				}).end(`answer to ${requestId}`);
 			}
 		}
 	}
+
+	#reportedLoad(): string {
+		return this.timePercent === undefined ? this.load : `${this.load},${this.timePercent}`;
+	}
 }
 
 function sendUnframed(behaviour: Unframed, requestId: string, socket: Socket): void {
--- a/test/steering-daemon.test.ts
+++ b/test/steering-daemon.test.ts
@@ -112,6 +112,23 @@
 			expect(Number(executedRequests()[0]!.headers['x-deadline-ms'])).toBeLessThanOrEqual(1000);
 		});
 
+		it('bring the time factor of an instance that reports one, and are answered as usual if it reports nonsense', async () => {
+			const queueOf = (id: string) => daemon.kernel.get('instances').get(id)!.queue;
+			for (const instance of instances) {
+				instance.timePercent = 70_000;
+			}
+
+			expect(await request('/read/x')).toMatchObject({status: 200});
+			expect(['i-0', 'i-1'].some(id => queueOf(id).hasTimeFactor)).toBe(false);
+			for (const instance of instances) {
+				instance.timePercent = 300;
+			}
+
+			expect(await request('/read/x')).toMatchObject({status: 200});
+			const served = ['i-0', 'i-1'].find(id => queueOf(id).hasTimeFactor)!;
+			expect(queueOf(served).timeFactor(100, 0, performance.now())).toBe(3);
+		});
+
 		it('for one object are sent to one instance', async () => {
 			for (let index = 0; index < 6; index++) {
 				await request('/read/x');
