The log line of a busy host keeps its severity

Cause: a field named level is replaced by the line's severity, so that the busy level was not in the line. Change: the field is named busyLevel.

--- a/src/services/host-load-monitor.ts
+++ b/src/services/host-load-monitor.ts
@@ -64,7 +64,7 @@
 
 		this.#level = level;
 		logger.limited('this host announces how busy it is', {
-			level, meanLoad: Math.round(this.#busyLevel.meanLoad * 100) / 100, loopLoad: Math.round(loopLoad * 100) / 100, connections,
+			busyLevel: level, meanLoad: Math.round(this.#busyLevel.meanLoad * 100) / 100, loopLoad: Math.round(loopLoad * 100) / 100, connections,
 		});
 		members.run(members.membership.setBusyLevel(level));
 	}
