--- a/test/present-speed.test.ts
+++ b/test/present-speed.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {playSpeeds} from './speed-model.js';
+import {playSpeeds} from '../tools/speed-model.js';
 
 const common = {
 	hosts: 4, instances: 6, runMs: 150, targetMs: 300, timeoutMs: 750, meanStayMs: 500, seconds: 40,
--- a/test/unequal-hosts.test.ts
+++ b/test/unequal-hosts.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {hostCapacities} from '../src/decisions/host-capacities.js';
 import {HostSelection} from '../src/decisions/host-selection.js';
-import {playDirectoryClients} from './directory-clients-model.js';
+import {playDirectoryClients} from '../tools/directory-clients-model.js';
 
 /** Sizes of the hosts of a zone, 7-fold apart in processor and 20-fold in link. */
 const sizes = [[0.189, 14], [0.3, 7], [0.45, 40], [0.621, 60], [0.621, 140], [0.8, 90], [0.95, 100], [1.1, 140], [1.35, 120], [1.35, 140]] as const;
