--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -239,7 +239,7 @@
 			}
 
 			if (!isOverBefore({
-				startMs: nowMs, waitMs: choice.waitMs, usualRunMs: observer.runMs(service, context.admission.route), endMs: this.#finishByMs,
+				startMs: nowMs, waitMs: choice.waitMs, usualRunMs: choice.runMs, endMs: this.#finishByMs,
 			})) {
 				return this.#outcomeWithoutResponse(attempts, lastResult, 'stopping');
 			}
@@ -258,7 +258,7 @@
 			if (lastResult.kind === 'whole' || lastResult.kind === 'partial') {
 				attempts.recordResult('answered');
 				return {
-					kind: 'answer', result: lastResult, instanceId: choice.entry.instance.id, expectedWaitMs: choice.waitMs, failedSends: triedInstanceIds.size - 1,
+					kind: 'answer', result: lastResult, instanceId: choice.entry.instance.id, expectedWaitMs: choice.waitMs, expectedRunMs: choice.runMs, failedSends: triedInstanceIds.size - 1,
 				};
 			}
 
@@ -270,7 +270,7 @@
 
 	#choose(context: RequestContext, nowMs: number): ReturnType<Placement['choose']> {
 		const {placement, steering, observer, coldLimitPerSecond} = this.#options;
-		const {admission, service, objectKey, triedInstanceIds, deadlineMs} = context;
+		const {req, admission, service, objectKey, triedInstanceIds, deadlineMs} = context;
 		const {route, priority, allowedRegions} = admission;
 		return placement.choose({
 			service,
@@ -281,6 +281,7 @@
 			avoid: triedInstanceIds,
 			coldPerSecond: coldLimitPerSecond(steering.routes?.services.get(service)?.coldPerSecond ?? 0),
 			remainingMs: deadlineMs - nowMs,
+			targetMs: route.targetMs - (nowMs - req.arrivedMs),
 			runMs: observer.runMs(service, route),
 		}, nowMs);
 	}
--- a/test/steering-daemon.test.ts
+++ b/test/steering-daemon.test.ts
@@ -112,6 +112,23 @@
 			expect(Number(executedRequests()[0]!.headers['x-deadline-ms'])).toBeLessThanOrEqual(1000);
 		});
 
+		it('bring the time factor of an instance that reports one, and are answered as usual if it reports nonsense', async () => {
+			const queueOf = (id: string) => daemon.kernel.get('instances').get(id)!.queue;
+			for (const instance of instances) {
+				instance.timePercent = 70_000;
+			}
+
+			expect(await request('/read/x')).toMatchObject({status: 200});
+			expect(['i-0', 'i-1'].some(id => queueOf(id).hasTimeFactor)).toBe(false);
+			for (const instance of instances) {
+				instance.timePercent = 300;
+			}
+
+			expect(await request('/read/x')).toMatchObject({status: 200});
+			const served = ['i-0', 'i-1'].find(id => queueOf(id).hasTimeFactor)!;
+			expect(queueOf(served).timeFactor(100, 0, performance.now())).toBe(3);
+		});
+
 		it('for one object are sent to one instance', async () => {
 			for (let index = 0; index < 6; index++) {
 				await request('/read/x');
@@ -461,5 +478,26 @@
 			store.setFaults({});
 			await other.close();
 		});
+
+		it('learn each other\'s size from the store and how busy each is by gossip, and name a small host to fewer clients', async () => {
+			const cpuShares = [0.1, 0.5, 0.5, 0.7];
+			const others = await Promise.all(cpuShares.map(async cpuShare => startSteeringDaemon(storeAddress, {cpuShare})));
+			const [small, last] = [others[0]!, others.at(-1)!];
+			const directory = last.kernel.get('directory');
+			const countNamed = (host: string) => Array.from({length: 200}, (_, index) => directory.resolve('dsm-a', `10.0.0.${index}`).addresses)
+				.filter(addresses => addresses.includes(`${host}:8381`)).length;
+			const idOf = (host: string) => `edge-${host.replaceAll('.', '-')}`;
+			await until(() => last.kernel.get('members').membership.candidates().length === 5 && last.kernel.get('steering').hosts.size === 5);
+			await until(() => last.kernel.get('steering').hosts.get(idOf(small.host))?.size !== undefined);
+			expect(last.kernel.get('steering').hosts.get(idOf(small.host))?.size).toEqual({processor: 0.2, linkMbps: 70});
+			expect(last.kernel.get('steering').hosts.get(idOf(daemon.host))?.size).toBeUndefined();
+			const usual = countNamed(small.host);
+			expect(usual).toBeLessThan(0.5 * countNamed(others[1]!.host));
+			const {membership} = others[1]!.kernel.get('members');
+			others[1]!.kernel.get('members').run(membership.setBusyLevel(3));
+			await until(() => last.kernel.get('members').membership.busyLevelOf(`${membership.self.id}/${membership.self.boot}`) === 3);
+			expect(countNamed(others[1]!.host)).toBeLessThan(countNamed(others[2]!.host));
+			await Promise.all(others.map(async other => other.close()));
+		});
 	});
 });
