The second of two instances is warm and reachable

Callers would see: requests without an object sent to a cold instance beside a slow one, since a queue that nothing is known of counts as empty. Cause: the choice between two instances by expected end took any usable one as the second. Change: the second must be warm and reachable; the first stays any usable one, as before. Tests: sending.test.ts, a cold and an unreachable instance beside a slow one; both failed before the change.

--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -209,7 +209,8 @@
 	 * Source: Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", IEEE TPDS 12(10), 2001.
 	 */
 	#fasterOfTwo(first: Candidate, others: readonly Candidate[], req: PlacementRequest, nowMs: number): Candidate {
-		const second = others.find(entry => this.#isUsable(entry, req, nowMs));
+		// The empty queue of an instance that is cold, or that could not be reached, says nothing about the time until its response.
+		const second = others.find(entry => this.#isUsable(entry, req, nowMs) && entry.health.state(nowMs) === 'open' && !this.#options.table.isCold(entry, nowMs));
 		if (second === undefined || !(first.queue.hasTimeFactor || second.queue.hasTimeFactor)) {
 			return first;
 		}
--- a/src/decisions/sending.test.ts
+++ b/src/decisions/sending.test.ts
@@ -254,6 +254,21 @@
 		expect(choose('k')).toBe('near');
 	});
 
+	it.each(['cold', 'unreachable', 'warm'] as const)('beside a slow machine takes no empty queue for a free one, unless its instance is warm: %s', state => {
+		const {table, choose} = setUp(undefined, true);
+		table.write(instance('slow'), 0);
+		table.write(instance('other', {coldMs: state === 'cold' ? 60_000 : 0}), 0);
+		table.get('slow')!.queue.recordResponse({
+			running: 3, waiting: 0, slots: 3, timeFactor: 3,
+		}, 150, 0, 0);
+		if (state === 'unreachable') {
+			table.get('other')!.health.recordResult('unreachable', -10_000);
+		}
+
+		const chosen = Array.from({length: 40}, () => choose(undefined, {coldPerSecond: 1000}, 1));
+		expect(chosen.filter(id => id === 'slow').length > 5).toBe(state !== 'warm');
+	});
+
 	it('starts some objects in another region if the own one has many hosts and few slots, in the same way at each call', () => {
 		const {table, choose} = setUp(undefined, false, new Map([['a', 4], ['b', 4]]));
 		for (const [id, zone] of [['a0', 'a-1'], ['b0', 'b-1'], ['b1', 'b-1'], ['b2', 'b-1']] as const) {
