Stand-in of the platform's store restores a copy and states its era

Nothing could play a store that comes back from an older copy: the stand-in kept all that it acknowledged, and its responses had no Store-Era header. It now copies and restores its contents, leases and lease ids included, states an era if it is given one, raises it with each restore, and answers a watch from a revision that it does not have with 410. `writeAgain` writes what operators and instances wrote last. The contents move to a file of their own. Without an era the stand-in behaves as before.

--- a/stand-ins/http-stand-in.ts
+++ b/stand-ins/http-stand-in.ts
@@ -51,10 +51,14 @@
 				resolve();
 			});
 		});
+		this.destroyConnections();
+		await closed;
+	}
+
+	/** Closes every open connection without completing its requests. */
+	destroyConnections(): void {
 		for (const socket of this.#sockets) {
 			socket.destroy();
 		}
-
-		await closed;
 	}
 }
--- a/stand-ins/kv-store-stand-in.ts
+++ b/stand-ins/kv-store-stand-in.ts
@@ -2,10 +2,8 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {collectBody} from './collect-body.js';
 import {HttpStandIn} from './http-stand-in.js';
+import {KvContents} from './kv-contents.js';
 
-type Item = {readonly key: string; readonly value: string; readonly revision: number; readonly created: number; readonly lease_id: number};
-type Event = Item | {readonly key: string; readonly revision: number; readonly deleted: true};
-type Lease = {ttlMs: number; expiresMs: number};
 type Txn = {
 	readonly precondition?: ReadonlyArray<{readonly key: string; readonly revision: number}>;
 	readonly puts?: ReadonlyArray<{readonly key: string; readonly value: string; readonly lease_id?: number}>;
@@ -35,19 +33,22 @@
 		void this.#handle(req, res);
 	});
 
-	readonly #items = new Map<string, Item>();
-	readonly #leases = new Map<number, Lease>();
+	readonly #contents = new KvContents(() => {
+		this.#wakeWatches();
+	});
+
 	readonly #waitingWatches = new Set<() => void>();
 	readonly #callsPerSecond: number;
-	#history: Event[] = [];
-	#compactedRevision = 0;
-	#revision = 1;
-	#nextLeaseId = 1;
+	/** Last value that `write` set for each key: what operators and instances have. */
+	readonly #written = new Map<string, unknown>();
+	/** Era that the responses state; `undefined` for a store without eras. */
+	#era: number | undefined;
 	#faults = noFaults;
 	#rateWindow = {startMs: 0, calls: 0};
 
-	constructor(callsPerSecond = 2000) {
+	constructor(callsPerSecond = 2000, era?: number) {
 		this.#callsPerSecond = callsPerSecond;
+		this.#era = era;
 	}
 
 	/** Number of watch calls received. */
@@ -70,45 +71,81 @@
 
 	/** Writes a key, as an operator or an instance does, and returns the revision. */
 	write(key: string, value: unknown): number {
-		return this.#put(key, Buffer.from(typeof value === 'string' ? value : JSON.stringify(value)).toString('base64'), 0);
+		this.#written.set(key, value);
+		return this.#contents.put(key, Buffer.from(typeof value === 'string' ? value : JSON.stringify(value)).toString('base64'), 0);
 	}
 
 	/** Removes a key, as the platform does. */
 	remove(key: string): void {
-		if (this.#items.delete(key)) {
-			this.#revision++;
-			this.#recordEvent({key, revision: this.#revision, deleted: true});
+		this.#written.delete(key);
+		this.#contents.remove(key);
+	}
+
+	/** Returns a copy of everything that the store keeps. */
+	copy(): ReturnType<KvContents['copy']> {
+		return this.#contents.copy();
+	}
+
+	/**
+	 * Restores a copy: all writes, leases and revisions since then are gone, and a store with eras states the next one. `keepsWatches`
+	 * lets the waiting watches wait on, as those of a store do that replaces its contents without a restart.
+	 */
+	restore(copy: ReturnType<KvContents['copy']>, {keepsWatches = false} = {}): void {
+		this.#contents.restore(copy);
+		this.#era = this.#era === undefined ? undefined : this.#era + 1;
+		if (!keepsWatches) {
+			this.#http.destroyConnections();
+		}
+	}
+
+	/** Writes again what `write` and `remove` changed last, as operators and instances do after a restore. */
+	writeAgain(): void {
+		for (const [key, value] of this.#written) {
+			this.write(key, value);
+		}
+
+		for (const {key, lease_id: leaseId} of this.#contents.items) {
+			if (leaseId === 0 && !this.#written.has(key)) {
+				this.#contents.remove(key);
+			}
 		}
 	}
 
 	/** Returns the value of a key as text. */
 	read(key: string): string | undefined {
-		const item = this.#items.get(key);
+		const item = this.#contents.get(key);
 		return item === undefined ? undefined : Buffer.from(item.value, 'base64').toString();
 	}
 
 	/** Drops the history, so that a watch from an earlier revision receives status 410 and its caller needs a full read. */
 	compact(): void {
-		this.#history = [];
-		this.#compactedRevision = this.#revision;
-		this.#wakeWatches();
+		this.#contents.compact();
 	}
 
 	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const url = new URL(req.url ?? '/', 'http://store');
 		this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1);
 		const body = await collectBody(req).catch(() => '');
+		const setEra = () => {
+			if (this.#era !== undefined) {
+				res.setHeader('Store-Era', this.#era);
+			}
+		};
+
+		setEra();
 		if (await this.#isHandledByFault(req, res)) {
 			return;
 		}
 
-		this.#expireLeases();
+		this.#contents.expireLeases(performance.now());
 		const {status, json} = await this.#respond(req.method ?? 'GET', url, body);
 		if (this.#faults.isLosingResponses && req.method === 'POST') {
 			req.socket.destroy();
 			return;
 		}
 
+		// A restore may have taken place while the call waited.
+		setEra();
 		res.writeHead(status, {'Content-Type': 'application/json'}).end(JSON.stringify(json));
 	}
 
@@ -158,8 +195,8 @@
 		const [call, id] = url.pathname.split('/').slice(2);
 		switch (`${method} ${call}`) {
 			case 'GET kv-key': {
-				const item = this.#items.get(url.searchParams.get('key') ?? '');
-				return item === undefined ? {status: 404, json: {}} : {status: 200, json: {...item, at: this.#revision}};
+				const item = this.#contents.get(url.searchParams.get('key') ?? '');
+				return item === undefined ? {status: 404, json: {}} : {status: 200, json: {...item, at: this.#contents.revision}};
 			}
 
 			case 'GET kv-range': {
@@ -176,24 +213,18 @@
 
 			case 'POST kv-lease': {
 				const {ttl_ms: ttlMs} = JSON.parse(body) as {ttl_ms: number};
-				const leaseId = this.#nextLeaseId++;
-				this.#leases.set(leaseId, {ttlMs, expiresMs: performance.now() + ttlMs});
+				const leaseId = this.#contents.openLease(ttlMs, performance.now());
 				return {status: 200, json: {lease_id: leaseId, ttl_ms: ttlMs}};
 			}
 
 			case 'POST kv-keep': {
-				const lease = this.#leases.get(Number(id));
-				if (lease === undefined) {
-					return {status: 404, json: {}};
-				}
-
-				lease.expiresMs = performance.now() + lease.ttlMs;
-				return {status: 200, json: {ttl_ms: lease.ttlMs}};
+				const ttlMs = this.#contents.renewLease(Number(id), performance.now());
+				return ttlMs === undefined ? {status: 404, json: {}} : {status: 200, json: {ttl_ms: ttlMs}};
 			}
 
 			case 'DELETE kv-lease-end': {
-				const isKnown = this.#leases.has(Number(id));
-				this.#endLease(Number(id));
+				const isKnown = this.#contents.hasLease(Number(id));
+				this.#contents.endLease(Number(id));
 				return {status: isKnown ? 200 : 404, json: {}};
 			}
 
@@ -204,21 +235,21 @@
 	}
 
 	#range(prefix: string, after: string): {status: number; json: unknown} {
-		const all = [...this.#items.values()].filter(item => item.key.startsWith(prefix) && item.key > after).toSorted((a, b) => (a.key < b.key ? -1 : 1));
-		return {status: 200, json: {items: all.slice(0, maxItemsPerPage), has_more: all.length > maxItemsPerPage, at: this.#revision}};
+		const all = this.#contents.items.filter(item => item.key.startsWith(prefix) && item.key > after).toSorted((a, b) => (a.key < b.key ? -1 : 1));
+		return {status: 200, json: {items: all.slice(0, maxItemsPerPage), has_more: all.length > maxItemsPerPage, at: this.#contents.revision}};
 	}
 
 	async #watch(prefix: string, after: number, waitMs: number): Promise<{status: number; json: unknown}> {
 		const untilMs = performance.now() + waitMs;
 		for (;;) {
-			if (after < this.#compactedRevision) {
+			const events = this.#contents.eventsAfter(after, prefix);
+			if (events === undefined || (after > this.#contents.revision && this.#era !== undefined)) {
 				return {status: 410, json: {}};
 			}
 
-			const events = this.#history.filter(event => event.revision > after && event.key.startsWith(prefix));
 			const remainingMs = untilMs - performance.now();
 			if (events.length > 0 || remainingMs <= 0) {
-				return {status: 200, json: {events, at: this.#revision}};
+				return {status: 200, json: {events, at: this.#contents.revision}};
 			}
 
 			await this.#nextChange(remainingMs);
@@ -247,39 +278,24 @@
 			return {status: 400, json: {error: 'a value is too large'}};
 		}
 
-		const failed = precondition.some(row => (this.#items.get(row.key)?.revision ?? 0) !== row.revision);
+		const failed = precondition.some(row => (this.#contents.get(row.key)?.revision ?? 0) !== row.revision);
 		if (failed) {
-			return {status: 412, json: {items: precondition.map(row => this.#items.get(row.key)).filter(item => item !== undefined)}};
+			return {status: 412, json: {items: precondition.map(row => this.#contents.get(row.key)).filter(item => item !== undefined)}};
 		}
 
-		if (puts.some(row => row.lease_id !== undefined && row.lease_id !== 0 && !this.#leases.has(row.lease_id))) {
+		if (puts.some(row => row.lease_id !== undefined && row.lease_id !== 0 && !this.#contents.hasLease(row.lease_id))) {
 			return {status: 404, json: {}};
 		}
 
 		for (const row of puts) {
-			this.#put(row.key, row.value, row.lease_id ?? 0);
+			this.#contents.put(row.key, row.value, row.lease_id ?? 0);
 		}
 
 		for (const key of remove) {
-			this.remove(key);
+			this.#contents.remove(key);
 		}
 
-		return {status: 200, json: {revision: this.#revision}};
-	}
-
-	#put(key: string, value: string, leaseId: number): number {
-		this.#revision++;
-		const item: Item = {
-			key, value, revision: this.#revision, created: this.#items.get(key)?.created ?? this.#revision, lease_id: leaseId,
-		};
-		this.#items.set(key, item);
-		this.#recordEvent(item);
-		return this.#revision;
-	}
-
-	#recordEvent(event: Event): void {
-		this.#history.push(event);
-		this.#wakeWatches();
+		return {status: 200, json: {revision: this.#contents.revision}};
 	}
 
 	#wakeWatches(): void {
@@ -287,21 +303,4 @@
 			wakeWatch();
 		}
 	}
-
-	#expireLeases(): void {
-		for (const [id, lease] of this.#leases) {
-			if (performance.now() >= lease.expiresMs) {
-				this.#endLease(id);
-			}
-		}
-	}
-
-	#endLease(id: number): void {
-		this.#leases.delete(id);
-		for (const item of this.#items.values()) {
-			if (item.lease_id === id) {
-				this.remove(item.key);
-			}
-		}
-	}
 }
