--- a/lint/platform-names.js
+++ b/lint/platform-names.js
@@ -9,6 +9,7 @@
 	'x-cold-ms',
 	'server-leaving',
 	'x-instance-id',
+	'store-era',
 	'route_type',
 	'non_idempotent',
 	'target_latency_ms',
--- a/src/contracts/gossip-message.ts
+++ b/src/contracts/gossip-message.ts
@@ -10,6 +10,8 @@
 	address: SocketAddress,
 	/** Revision of the configuration in force at the sender; 0 for none. */
 	revision: z.int().min(0),
+	/** Era of the store that `revision` belongs to; absent if the store states none, and from earlier releases. */
+	era: z.int().min(0).optional(),
 	/** Hash of the sender's view of its region; if it differs from the receiver's, the views are synchronized. */
 	viewHash: z.int(),
 	updates: z.array(MemberUpdate).max(16),
@@ -31,10 +33,11 @@
 	z.object({kind: z.literal('gone'), gone: z.string(), ...CommonFields}),
 	/**
 	 * Reports a new revision or member updates immediately instead of with the next probe. `contactOf` is a process that
-	 * watches the store and has just been answered by it, `contactRevision` the revision that it had; earlier releases send neither.
+	 * watches the store and has just been answered by it, `contactRevision` and `contactEra` the version that it had. A `contactOf` that
+	 * names the receiver reports no contact: with an era, the fields cannot be left out, since they precede it on the wire.
 	 */
 	z.object({
-		kind: z.literal('news'), contactOf: z.string().optional(), contactRevision: z.int().min(0).optional(), ...CommonFields,
+		kind: z.literal('news'), contactOf: z.string().optional(), contactRevision: z.int().min(0).optional(), contactEra: z.int().min(0).optional(), ...CommonFields,
 	}),
 	/**
 	 * Compares region summaries with another region: `own` fields describe the sender's summary of its own region, `known`
--- a/src/contracts/item-pull.ts
+++ b/src/contracts/item-pull.ts
@@ -2,6 +2,8 @@
 
 /** Response to a peer that has an older revision of the store's items: the changes since then, or all items. */
 export const ItemPull = z.object({
+	/** Era of the store that all revisions here belong to; 0 if the store states none. Hosts of the release before omit it. */
+	era: z.int().min(0).optional(),
 	/** Revision up to which the sender has all changes. */
 	revision: z.int().min(0),
 	/** Whether `items` is complete, so that the receiver removes all other keys. */
--- a/src/contracts/live-instance.ts
+++ b/src/contracts/live-instance.ts
@@ -11,6 +11,8 @@
 	readonly slots: number;
 	/** Whether the instance accepts no new requests. */
 	readonly isDraining: boolean;
+	/** Number of the state that the entry tells; a process counts it up. */
+	readonly sequence?: number;
 	/** Time for which the instance remains cold, counted from the write of the entry, in milliseconds. */
 	readonly coldMs: number;
 };
--- a/src/contracts/prefix-store.ts
+++ b/src/contracts/prefix-store.ts
@@ -3,29 +3,34 @@
 import {type StoreItem} from './store-item.js';
 
 type StoreError = Extract<Awaited<ReturnType<Store['get']>>, {success: false}>['error'];
-/** `compacted`: the store no longer has the changes after the requested revision. */
-type HistoryError = StoreError | {readonly code: 'compacted'; readonly message: string};
+/** `compacted`: the store no longer has the changes after the requested revision, or does not know that revision. */
+type HistoryError = StoreError | {readonly code: 'compacted'; readonly message: string; readonly era: number};
 /** `no_lease`: the lease has ended, and its keys are removed. */
-type LeaseError = StoreError | {readonly code: 'no_lease'; readonly message: string};
+type LeaseError = StoreError | {readonly code: 'no_lease'; readonly message: string; readonly era: number};
+/** Era that the response states; 0 if it states none. */
+type EraStatement = {readonly era: number};
 
 /** Change of a key, as reported by the store. */
 type StoreEvent = {readonly kind: 'written'; readonly item: StoreItem} | {readonly kind: 'removed'; readonly key: string; readonly revision: number};
 
-/** Key-value store with one revision counter for all keys. Keys are read and watched by prefix, and may be bound to a lease. */
+/**
+ * Key-value store with one revision counter for all keys. Keys are read and watched by prefix, and may be bound to a lease. A store
+ * that is restored from an earlier copy states a higher era from then on; revisions and leases of the era before mean nothing in it.
+ */
 export type PrefixStore = {
-	/** Returns all items under a prefix; `revision` is that of the store before the first item was read. */
-	readonly list: (prefix: string) => Promise<Result<{readonly items: readonly StoreItem[]; readonly revision: number}, StoreError>>;
-	/** Waits up to `waitMs` for changes after a revision; returns them and the revision from which to continue. */
+	/** Returns all items under a prefix, all of one era; `revision` is that of the store before the first item was read. */
+	readonly list: (prefix: string) => Promise<Result<EraStatement & {readonly items: readonly StoreItem[]; readonly revision: number}, StoreError>>;
+	/** Waits up to `waitMs` for changes after a revision; returns them and the revision from which to continue. They follow on the revision only if its era is the one returned. */
 	readonly watchPrefix: (prefix: string, afterRevision: number, waitMs: number, signal: AbortSignal) =>
-	Promise<Result<{readonly changes: readonly StoreEvent[]; readonly revision: number}, HistoryError>>;
+	Promise<Result<EraStatement & {readonly changes: readonly StoreEvent[]; readonly revision: number}, HistoryError>>;
 	/** Makes the cheapest possible call, to find out whether the store answers. */
-	readonly ping: () => Promise<Result<undefined, StoreError>>;
+	readonly ping: () => Promise<Result<EraStatement, StoreError>>;
 	/** Opens a lease; returns its id. */
-	readonly openLease: (ttlMs: number) => Promise<Result<{readonly leaseId: number}, StoreError>>;
+	readonly openLease: (ttlMs: number) => Promise<Result<EraStatement & {readonly leaseId: number}, StoreError>>;
 	/** Renews a lease; its time to live starts again when the store receives the call. */
-	readonly renewLease: (leaseId: number) => Promise<Result<undefined, LeaseError>>;
+	readonly renewLease: (leaseId: number) => Promise<Result<EraStatement, LeaseError>>;
 	/** Ends a lease and removes its keys. */
-	readonly endLease: (leaseId: number) => Promise<Result<undefined, LeaseError>>;
+	readonly endLease: (leaseId: number) => Promise<Result<EraStatement, LeaseError>>;
 	/** Writes a key and binds it to a lease, whatever its earlier value. */
-	readonly putLeased: (key: string, value: string, leaseId: number) => Promise<Result<undefined, LeaseError>>;
+	readonly putLeased: (key: string, value: string, leaseId: number) => Promise<Result<EraStatement, LeaseError>>;
 };
--- a/src/decisions/instance-table.ts
+++ b/src/decisions/instance-table.ts
@@ -53,6 +53,26 @@
 		});
 	}
 
+	/**
+	 * Adds or updates an instance from an entry of a restored store, unless the known entry is a later one of the same process: the instance
+	 * then writes its entry again.
+	 */
+	writeRestored(instance: LiveInstance, nowMs: number): void {
+		const known = this.#entries.get(instance.id);
+		if (known !== undefined && isLater(known.instance, instance)) {
+			known.retainUntilMs = undefined;
+		} else {
+			this.write(instance, nowMs);
+		}
+	}
+
+	/** Retains all entries that are missing from the store at least until `retainUntilMs`. */
+	extendRetention(retainUntilMs: number): void {
+		for (const entry of this.#entries.values()) {
+			entry.retainUntilMs &&= Math.max(entry.retainUntilMs, retainUntilMs);
+		}
+	}
+
 	/** Records that an entry is missing from the store; it is removed at `retainUntilMs`. */
 	remove(id: string, retainUntilMs: number, nowMs: number): void {
 		const known = this.#entries.get(id);
@@ -117,3 +137,7 @@
 		return !instance.isDraining && !this.#evacuated.has(instance.zone) && !this.notices.isLeaving(instance);
 	}
 }
+
+function isLater(a: LiveInstance, b: LiveInstance): boolean {
+	return a.born === b.born && (a.sequence ?? 0) > (b.sequence ?? 0);
+}
--- a/src/decisions/item-replica.test.ts
+++ b/src/decisions/item-replica.test.ts
@@ -2,6 +2,7 @@
 import {describe, expect, it} from 'vitest';
 import {type StoreChange} from '../contracts/store-change.js';
 import {ReplicationModel} from '../../test/replication-model.js';
+import {compareVersions} from './compare-versions.js';
 import {ItemReplica} from './item-replica.js';
 import {StoreOutage} from './store-outage.js';
 
@@ -10,14 +11,15 @@
 	kind: 'removed', key, revision, retainUntilMs: 0,
 });
 const revisionOf = (change: StoreChange) => (change.kind === 'written' ? change.item.revision : change.revision);
-const applyAll = (replica: ItemReplica, changes: readonly StoreChange[]) => replica.applyChanges(changes, Math.max(...changes.map(change => revisionOf(change))));
+const at = (revision: number, era = 0) => ({era, revision});
+const applyAll = (replica: ItemReplica, changes: readonly StoreChange[]) => replica.applyChanges(changes, at(Math.max(...changes.map(change => revisionOf(change)))));
 const keysOf = (replica: ItemReplica) => replica.withPrefix('').map(item => item.key).toSorted();
 const valuesOf = (replica: ItemReplica) => replica.withPrefix('').map(item => item.value).toSorted();
 
 /** Lets a peer pull the changes that it does not have, as it does when the other host reports a newer revision. */
 function pull(peer: ItemReplica, from: ItemReplica): void {
-	if (from.revision > peer.revision) {
-		peer.applyDelta(from.deltaSince(peer.revision), 0);
+	if (compareVersions(from.version, peer.version) > 0) {
+		peer.applyDelta(from.deltaSince(peer.version), 0);
 	}
 }
 
@@ -46,15 +48,15 @@
 			const changes = steps.map(([key, isWrite], index) => (isWrite ? written(key, index + 1) : removed(key, index + 1)));
 			const peerAt = (revision: number) => {
 				const peer = new ItemReplica();
-				peer.applyChanges(changes.slice(0, revision), revision);
+				peer.applyChanges(changes.slice(0, revision), at(revision));
 				return peer;
 			};
 
 			// Responses of peers that have applied different parts of the history, to pulls from different revisions.
-			const responses = pulledRevisions.map(([have, revision]) => peerAt(Math.min(revision, changes.length)).deltaSince(Math.max(1, Math.min(have, revision))));
+			const responses = pulledRevisions.map(([have, revision]) => peerAt(Math.min(revision, changes.length)).deltaSince(at(Math.max(1, Math.min(have, revision)))));
 			const replica = new ItemReplica();
-			replica.applyChanges(changes.slice(0, 1), 1);
-			const order = [...responses, peerAt(changes.length).deltaSince(1)];
+			replica.applyChanges(changes.slice(0, 1), at(1));
+			const order = [...responses, peerAt(changes.length).deltaSince(at(1))];
 			for (const pick of picks.take(order.length)) {
 				replica.applyDelta(order.splice(pick % order.length, 1)[0]!, 0);
 			}
@@ -82,13 +84,13 @@
 		const replica = new ItemReplica();
 		applyAll(replica, [removed('a', 7), written('b', 8)]);
 		expect(applyAll(replica, [written('a', 5)])).toEqual([]);
-		expect(replica.deltaSince(6).removals).toMatchObject([{key: 'a', revision: 7}]);
+		expect(replica.deltaSince(at(6)).removals).toMatchObject([{key: 'a', revision: 7}]);
 	});
 
 	it('removes keys that a full read does not contain, unless they are newer than the read', () => {
 		const replica = new ItemReplica();
 		applyAll(replica, [written('a', 1), written('b', 9)]);
-		replica.applyFullRead([], 5, 0);
+		replica.applyFullRead([], at(5), 0);
 		expect(replica.withPrefix('').map(item => item.key)).toEqual(['b']);
 	});
 
@@ -98,7 +100,7 @@
 		const peer = new ItemReplica();
 		pull(peer, replica);
 		applyAll(replica, [removed('a', 3), written('c', 4)]);
-		const delta = replica.deltaSince(peer.revision);
+		const delta = replica.deltaSince(peer.version);
 		expect(delta).toMatchObject({sinceRevision: 2, items: [{key: 'c'}], removals: [{key: 'a', revision: 3}]});
 		peer.applyDelta(delta, 0);
 		expect(peer.withPrefix('').map(item => item.key).toSorted()).toEqual(['b', 'c']);
@@ -106,10 +108,10 @@
 
 	it('returns all items to a peer that is older than the last full read, because a full read lists no removals', () => {
 		const replica = new ItemReplica();
-		replica.applyFullRead([{key: 'b', value: 'b@8', revision: 8}], 8, 0);
+		replica.applyFullRead([{key: 'b', value: 'b@8', revision: 8}], at(8), 0);
 		const peer = new ItemReplica();
 		applyAll(peer, [written('a', 5)]);
-		const delta = replica.deltaSince(peer.revision);
+		const delta = replica.deltaSince(peer.version);
 		expect(delta.sinceRevision).toBe(0);
 		peer.applyDelta(delta, 0);
 		expect(peer.get('a')).toBeUndefined();
@@ -117,17 +119,18 @@
 
 	it('ignores a write older than a full read that does not contain its key', () => {
 		const replica = new ItemReplica();
-		replica.applyFullRead([{key: 'b', value: 'b@8', revision: 8}], 8, 0);
+		replica.applyFullRead([{key: 'b', value: 'b@8', revision: 8}], at(8), 0);
 		expect(applyAll(replica, [written('a', 5)])).toEqual([]);
 		expect(applyAll(replica, [written('a', 9)])).toHaveLength(1);
 	});
 
-	it('has every change up to its revision, at each of several hosts that watch, read page by page and pull from each other', () => {
+	it('has every change up to its revision, at each of several hosts that watch, read page by page and pull from each other, while the store is restored now and then', () => {
 		const operation = fc.oneof(
 			fc.record({kind: fc.constantFrom('write', 'remove'), key: fc.constantFrom('a', 'b', 'c', 'd')}),
 			fc.record({kind: fc.constantFrom('beginRead', 'endRead', 'watch'), host: fc.nat(1)}),
 			fc.record({kind: fc.constant('pull'), host: fc.nat(3), from: fc.nat(3)}),
 			fc.record({kind: fc.constant('receive'), host: fc.nat(3)}),
+			fc.record({kind: fc.constant('restore'), lost: fc.integer({min: 1, max: 6})}),
 		);
 		fc.assert(fc.property(fc.array(operation, {maxLength: 40}), operations => {
 			const model = new ReplicationModel();
@@ -144,14 +147,14 @@
 	describe('after a full read whose pages were read at different revisions', () => {
 		// The read began at revision 10. Its first page, with key a, precedes revision 11, and its second page, with key z, follows revision 12.
 		const readPages = (replica: ItemReplica) => {
-			replica.applyFullRead([written('a', 5).item, written('z', 12).item], 10, 0);
+			replica.applyFullRead([written('a', 5).item, written('z', 12).item], at(10), 0);
 		};
 
 		it('passes on a write that the first page lacks to a peer that pulled before the watch returned it', () => {
 			const [replica, peer] = [new ItemReplica(), new ItemReplica()];
 			readPages(replica);
 			pull(peer, replica);
-			replica.applyChanges([written('a', 11), written('z', 12)], 12);
+			replica.applyChanges([written('a', 11), written('z', 12)], at(12));
 			pull(peer, replica);
 			expect(peer.get('a')?.revision).toBe(11);
 		});
@@ -160,7 +163,7 @@
 			const [replica, peer] = [new ItemReplica(), new ItemReplica()];
 			readPages(replica);
 			pull(peer, replica);
-			replica.applyChanges([removed('a', 11), written('z', 12)], 12);
+			replica.applyChanges([removed('a', 11), written('z', 12)], at(12));
 			pull(peer, replica);
 			expect(keysOf(peer)).toEqual(['z']);
 		});
@@ -169,7 +172,7 @@
 			const [replica, peer] = [new ItemReplica(), new ItemReplica()];
 			readPages(replica);
 			pull(peer, replica);
-			peer.applyFullRead([written('a', 5).item, written('b', 11).item, written('z', 12).item], 12, 0);
+			peer.applyFullRead([written('a', 5).item, written('b', 11).item, written('z', 12).item], at(12), 0);
 			expect(keysOf(peer)).toEqual(['a', 'b', 'z']);
 		});
 	});
@@ -177,10 +180,10 @@
 	describe('after a full read that replaces a lost watch', () => {
 		it('sends only the changes to a peer that was complete up to the revision before the read', () => {
 			const [replica, peer] = [new ItemReplica(), new ItemReplica()];
-			replica.applyFullRead([written('a', 5).item, written('b', 6).item, written('c', 7).item], 10, 0);
+			replica.applyFullRead([written('a', 5).item, written('b', 6).item, written('c', 7).item], at(10), 0);
 			pull(peer, replica);
-			replica.applyFullRead([written('b', 6).item, written('c', 14).item], 15, 900);
-			expect(replica.deltaSince(peer.revision)).toMatchObject({
+			replica.applyFullRead([written('b', 6).item, written('c', 14).item], at(15), 900);
+			expect(replica.deltaSince(peer.version)).toMatchObject({
 				sinceRevision: 10, items: [{key: 'c', revision: 14}], removals: [{key: 'a', revision: 15, retainUntilMs: 900}],
 			});
 			pull(peer, replica);
@@ -189,19 +192,75 @@
 
 		it('removes a key at a peer that received its write from elsewhere, but not its removal', () => {
 			const [replica, peer] = [new ItemReplica(), new ItemReplica()];
-			replica.applyFullRead([written('a', 5).item], 10, 0);
+			replica.applyFullRead([written('a', 5).item], at(10), 0);
 			pull(peer, replica);
-			peer.applyChanges([written('k', 12)], 12);
-			replica.applyFullRead([written('a', 5).item], 15, 0);
+			peer.applyChanges([written('k', 12)], at(12));
+			replica.applyFullRead([written('a', 5).item], at(15), 0);
 			pull(peer, replica);
 			expect(keysOf(peer)).toEqual(['a']);
 		});
 	});
 
+	describe('after a restore of the store', () => {
+		// Guards against a configuration that never comes into force because the era before had a higher revision of its key.
+		it('takes over a value whose revision is below the one known from the era before', () => {
+			const replica = new ItemReplica();
+			replica.applyFullRead([written('a', 80).item], at(100, 1), 0);
+			expect(replica.applyFullRead([{key: 'a', value: 'later', revision: 45}], at(50, 2), 0)).toMatchObject([{kind: 'written', item: {revision: 45}, origin: 'restored'}]);
+			expect(replica.version).toEqual(at(50, 2));
+		});
+
+		it('reports no change for a value that the copy has too, and one that it lacks as lost', () => {
+			const replica = new ItemReplica();
+			replica.applyFullRead([written('a', 5).item, written('b', 80).item], at(100, 1), 0);
+			expect(replica.applyFullRead([written('a', 5).item], at(50, 2), 900)).toEqual([{
+				kind: 'removed', key: 'b', revision: 50, retainUntilMs: 900, isLost: true,
+			}]);
+		});
+
+		it('takes back a key that was removed in the era before', () => {
+			const replica = new ItemReplica();
+			replica.applyFullRead([written('a', 5).item], at(10, 1), 0);
+			replica.applyChanges([removed('a', 11)], at(11, 1));
+			replica.applyFullRead([written('a', 5).item], at(10, 2), 0);
+			expect(keysOf(replica)).toEqual(['a']);
+		});
+
+		it('drops late responses of the era before: a full read, changes, and all items of a peer', () => {
+			const [replica, late] = [new ItemReplica(), new ItemReplica()];
+			late.applyFullRead([written('b', 90).item], at(100, 1), 0);
+			replica.applyFullRead([written('a', 5).item], at(10, 2), 0);
+			expect(replica.applyFullRead([written('b', 90).item], at(100, 1), 0)).toEqual([]);
+			expect(replica.applyChanges([written('b', 90)], at(100, 1))).toEqual([]);
+			expect(replica.applyDelta(late.deltaSince(at(0)), 0)).toEqual([]);
+			expect([keysOf(replica), replica.version]).toEqual([['a'], at(10, 2)]);
+		});
+
+		it('ignores changes of a later era, which follow on items that it does not have', () => {
+			const [replica, peer] = [new ItemReplica(), new ItemReplica()];
+			replica.applyFullRead([written('a', 5).item], at(10, 1), 0);
+			peer.applyFullRead([], at(7, 2), 0);
+			peer.applyChanges([written('b', 12)], at(12, 2));
+			expect(replica.applyChanges([written('b', 12)], at(12, 2))).toEqual([]);
+			expect(replica.applyDelta(peer.deltaSince(at(8, 2)), 0)).toEqual([]);
+			expect([keysOf(replica), replica.version]).toEqual([['a'], at(10, 1)]);
+		});
+
+		it('sends all items to a peer of another era, whose revision it may have given out for other changes', () => {
+			const [replica, peer] = [new ItemReplica(), new ItemReplica()];
+			peer.applyFullRead([written('a', 5).item, written('b', 30).item], at(40, 1), 0);
+			replica.applyFullRead([written('c', 20).item], at(35, 2), 0);
+			replica.applyChanges([written('d', 45)], at(45, 2));
+			expect(replica.deltaSince(peer.version)).toMatchObject({sinceRevision: 0, version: at(45, 2)});
+			pull(peer, replica);
+			expect(keysOf(peer)).toEqual(['c', 'd']);
+		});
+	});
+
 	it('returns all items to a peer that has no revision', () => {
 		const replica = new ItemReplica();
 		applyAll(replica, [written('a', 1)]);
-		expect(replica.deltaSince(0)).toMatchObject({sinceRevision: 0, items: [{key: 'a'}]});
+		expect(replica.deltaSince(at(0))).toMatchObject({sinceRevision: 0, items: [{key: 'a'}]});
 	});
 });
 
@@ -230,6 +289,16 @@
 		}));
 	});
 
+	it('keeps entries that a new era lacks from the first contact to it or from the last failure, whichever is later', () => {
+		const outage = new StoreOutage(2200);
+		outage.recordNewEra(5000);
+		expect([outage.retainUntilMs(5100), outage.eraRetainUntilMs(5100)]).toEqual([7200, 7200]);
+		outage.recordFailure(6000);
+		expect([outage.retainUntilMs(6100), outage.eraRetainUntilMs(6100)]).toEqual([8200, 7200]);
+		outage.recordNewEra(6500);
+		expect([outage.retainUntilMs(6600), outage.retainUntilMs(9000)]).toEqual([8700, 9000]);
+	});
+
 	it('keeps no missing entries if no call has failed', () => {
 		const outage = new StoreOutage(2200);
 		expect(outage.recordSuccess()).toBe(false);
--- /dev/null
+++ b/src/decisions/membership-effect.ts
@@ -0,0 +1,14 @@
+import {type GossipMessage} from '../contracts/gossip-message.js';
+import {type StoreVersion} from '../contracts/store-version.js';
+
+/** What the membership protocol asks its service to do, or reports to it. */
+export type MembershipEffect =
+	| {readonly kind: 'send'; readonly address: string; readonly message: GossipMessage}
+	/** Exchanges complete views with the daemon at this address. */
+	| {readonly kind: 'sync'; readonly address: string}
+	/** The view changed. */
+	| {readonly kind: 'changed'}
+	/** A peer reported a newer version, or one without an era to a process that knows the store's era. */
+	| {readonly kind: 'revision'; readonly version: StoreVersion; readonly address: string}
+	/** The store has just answered a watcher of the region, which has this version and this position in the order of delegates. */
+	| {readonly kind: 'store_contact'; readonly version: StoreVersion; readonly rank: number};
--- a/src/decisions/membership.test.ts
+++ b/src/decisions/membership.test.ts
@@ -129,6 +129,56 @@
 		});
 	});
 
+	describe('store versions', () => {
+		const version = {era: 2, revision: 5};
+		type Effect = Parameters<NonNullable<ConstructorParameters<typeof SimulatedNetwork>[0]['onEffect']>>[1];
+
+		/** Returns a settled region and what its members report about the store from now on. */
+		function regionWithReports(hosts: number): {readonly network: SimulatedNetwork; readonly reports: Map<number, Effect[]>} {
+			const reports = new Map<number, Effect[]>();
+			const network = new SimulatedNetwork({
+				regions: {dsm: hosts}, seed: 11, onEffect(index, effect) {
+					reports.set(index, [...(reports.get(index) ?? []), effect]);
+				},
+			});
+			network.run(10_000);
+			reports.clear();
+			return {network, reports};
+		}
+
+		it('are reported with their era, and without a contact to the store that there was not', () => {
+			const {network, reports} = regionWithReports(4);
+			network.act(0, membership => membership.setVersion(version, true));
+			network.run(100);
+			for (const index of [1, 2, 3]) {
+				expect(reports.get(index)).toContainEqual({kind: 'revision', version, address: 'dsm:0'});
+				expect(reports.get(index)!.some(effect => effect.kind === 'store_contact')).toBe(false);
+			}
+		});
+
+		it('of a watcher in contact reach all members of a large region with their era, also by members that have no era yet', () => {
+			const {network, reports} = regionWithReports(30);
+			network.act(0, membership => membership.setVersion(version));
+			network.act(0, membership => membership.reportStoreContact());
+			network.run(100);
+			const informed = [...reports].filter(([, effects]) => effects.some(effect => effect.kind === 'store_contact' && effect.version.era === 2 && effect.version.revision === 5));
+			expect(informed).toHaveLength(29);
+		});
+
+		it('of an older era are not reported to a member of a later one, but those without an era are', () => {
+			const {network, reports} = regionWithReports(3);
+			network.act(0, membership => membership.setVersion(version));
+			network.run(3000);
+			reports.clear();
+			network.act(1, membership => membership.setVersion({era: 1, revision: 90}));
+			network.act(2, membership => membership.setVersion({era: 0, revision: 95}));
+			network.run(3000);
+			const versions = reports.get(0)!.flatMap(effect => (effect.kind === 'revision' ? [effect.version] : []));
+			expect(versions).toContainEqual({era: 0, revision: 95});
+			expect(versions).not.toContainEqual({era: 1, revision: 90});
+		});
+	});
+
 	describe('planned stops', () => {
 		it('removes a leaving host from the candidates and keeps it alive', () => {
 			const network = new SimulatedNetwork({regions: {dsm: 4}, seed: 20});
--- a/src/decisions/membership.ts
+++ b/src/decisions/membership.ts
@@ -2,9 +2,13 @@
 import {type Member} from '../contracts/member.js';
 import {type MemberUpdate} from '../contracts/member-update.js';
 import {type RegionSummary} from '../contracts/region-summary.js';
+import {type StoreVersion} from '../contracts/store-version.js';
+import {compareVersions} from './compare-versions.js';
 import {contactTargets} from './contact-targets.js';
 import {memberKey} from './member-key.js';
 import {MemberTable} from './member-table.js';
+import {type MembershipEffect} from './membership-effect.js';
+import {newsFor} from './news-for.js';
 import {ProbeTargets} from './probe-targets.js';
 import {RegionExchange} from './region-exchange.js';
 import {type SeededRandom} from './seeded-random.js';
@@ -19,17 +23,6 @@
 	readonly pauseLimitMs: number;
 };
 
-type MembershipEffect =
-	| {readonly kind: 'send'; readonly address: string; readonly message: GossipMessage}
-	/** Exchanges complete views with the daemon at this address. */
-	| {readonly kind: 'sync'; readonly address: string}
-	/** The view changed. */
-	| {readonly kind: 'changed'}
-	/** A peer reported a newer revision. */
-	| {readonly kind: 'revision'; readonly revision: number; readonly address: string}
-	/** The store has just answered a watcher of the region, which has this revision and this position in the order of delegates. */
-	| {readonly kind: 'store_contact'; readonly revision: number; readonly rank: number};
-
 type Probe = {
 	readonly key: string;
 	readonly seq: number;
@@ -80,7 +73,7 @@
 	#seq = 0;
 	/** Time at which this process resumed after a pause; `undefined` once a peer has acknowledged a probe sent since then. */
 	#resumedMs: number | undefined;
-	#revision = 0;
+	#version: StoreVersion = {era: 0, revision: 0};
 
 	constructor(options: MembershipOptions, self: Member, random: SeededRandom) {
 		this.#options = options;
@@ -176,21 +169,21 @@
 	}
 
 	/**
-	 * Sets the revision in force at this process, which every datagram carries, and reports it: to the whole region if this
+	 * Sets the version in force at this process, which every datagram carries, and reports it: to the whole region if this
 	 * process watches the store or is a delegate, otherwise to a few members.
 	 */
-	setRevision(revision: number, isWatching = false): MembershipEffect[] {
-		this.#revision = revision;
-		// Members whose notification was lost receive the revision with the datagrams of other members.
+	setVersion(version: StoreVersion, isWatching = false): MembershipEffect[] {
+		this.#version = version;
+		// Members whose notification was lost receive the version with the datagrams of other members.
 		const peers = this.#random.sample(this.#table.aliveOthers(), isWatching || this.isDelegate() ? regionFanOutMembers : updateFanOutMembers);
-		const notifications = peers.map(member => this.#send(member.peers, {kind: 'news', ...this.#commonFields(0)}));
+		const notifications = peers.map(member => this.#send(member.peers, newsFor(member, this.#commonFields(0))));
 		return this.isDelegate() ? [...notifications, ...this.#sendToRegions(this.#regions.allMessages())] : notifications;
 	}
 
 	/** Tells the region that the store, which this process watches, has just answered it. */
 	reportStoreContact(): MembershipEffect[] {
 		const {direct} = contactTargets(this.#selfKey, this.#selfKey, this.alive());
-		return this.#sendContact(direct, {contactOf: this.#selfKey, contactRevision: this.#revision});
+		return this.#sendContact(direct, this.#selfKey, this.#version);
 	}
 
 	/** Sets the daemon addresses from the platform's host list, for the own region and by other region. */
@@ -253,8 +246,9 @@
 			effects.push(...this.#applySummary(summary, nowMs));
 		}
 
-		if (message.revision > this.#revision) {
-			effects.push({kind: 'revision', revision: message.revision, address: message.address});
+		const version = {era: message.era ?? 0, revision: message.revision};
+		if (compareVersions(version, this.#version) > 0 || (version.era === 0 && this.#version.era > 0)) {
+			effects.push({kind: 'revision', version, address: message.address});
 		}
 
 		effects.push(...this.#respond(message, nowMs));
@@ -318,21 +312,23 @@
 		return [];
 	}
 
-	#receiveContact({from, contactOf, contactRevision}: GossipMessage & {kind: 'news'}): MembershipEffect[] {
+	#receiveContact({from, contactOf, contactRevision, contactEra = 0}: GossipMessage & {kind: 'news'}): MembershipEffect[] {
 		if (contactOf === undefined || contactRevision === undefined || contactOf === this.#selfKey) {
 			return [];
 		}
 
 		// Only what the watcher itself sent is relayed, so that differing views of the region cannot form a loop.
 		const relayed = from === contactOf ? contactTargets(contactOf, this.#selfKey, this.alive()).relayed : [];
-		return [
-			{kind: 'store_contact', revision: contactRevision, rank: this.#delegateRankOf(contactOf)},
-			...this.#sendContact(relayed, {contactOf, contactRevision}),
-		];
+		const version = {era: contactEra, revision: contactRevision};
+		return [{kind: 'store_contact', version, rank: this.#delegateRankOf(contactOf)}, ...this.#sendContact(relayed, contactOf, version)];
 	}
 
-	#sendContact(members: readonly Member[], contact: {readonly contactOf: string; readonly contactRevision: number}): MembershipEffect[] {
-		return members.map(member => this.#send(member.peers, {kind: 'news', ...contact, ...this.#commonFields(0)}));
+	#sendContact(members: readonly Member[], contactOf: string, {era, revision}: StoreVersion): MembershipEffect[] {
+		// The era of the sender precedes that of the contact on the wire, so that it is sent with it even if it is 0.
+		const eras = era > 0 && {era: this.#version.era, contactEra: era};
+		return members.map(member => this.#send(member.peers, newsFor(member, {
+			...this.#commonFields(0), contactOf, contactRevision: revision, ...eras,
+		})));
 	}
 
 	/** Requests an exchange of complete views if the sender's view differs and the last exchange is long enough ago. */
@@ -416,7 +412,7 @@
 	#suspect(update: MemberUpdate, nowMs: number): MembershipEffect[] {
 		const suspicion: MemberUpdate = {...update, status: 'suspect'};
 		const effects = this.#apply(suspicion, nowMs);
-		const message: GossipMessage = {kind: 'news', ...this.#commonFields(0), updates: [suspicion]};
+		const message = newsFor(update.member, {...this.#commonFields(0), updates: [suspicion]});
 		return [...effects, this.#send(update.member.peers, message), ...this.#sendUpdates()];
 	}
 
@@ -537,7 +533,7 @@
 	}
 
 	#sendUpdates(): MembershipEffect[] {
-		return this.#random.sample(this.#table.aliveOthers(), updateFanOutMembers).map(member => this.#send(member.peers, {kind: 'news', ...this.#commonFields()}));
+		return this.#random.sample(this.#table.aliveOthers(), updateFanOutMembers).map(member => this.#send(member.peers, newsFor(member, this.#commonFields())));
 	}
 
 	#sendToRegions(messages: ReturnType<RegionExchange['allMessages']>): MembershipEffect[] {
@@ -561,7 +557,8 @@
 		return {
 			from: this.#selfKey,
 			address: this.#self.peers,
-			revision: this.#revision,
+			revision: this.#version.revision,
+			...(this.#version.era > 0 && {era: this.#version.era}),
 			viewHash: this.#table.hash,
 			updates: updates === 0 ? [] : this.#queue.take(updates, this.#transmitLimit()),
 			summaries: updates === 0 ? [] : this.#regions.takeUpdates(summariesPerMessage),
--- a/src/decisions/revision-tracker.test.ts
+++ b/src/decisions/revision-tracker.test.ts
@@ -1,6 +1,9 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {StoreWatchModel} from '../../test/store-watch-model.js';
+import {compareVersions} from './compare-versions.js';
+import {RevisionTracker} from './revision-tracker.js';
+import {SeededRandom} from './seeded-random.js';
 
 /** Time within which hosts in touch with the store must know a change, from the store's acknowledgement. */
 const drainMs = 2500;
@@ -14,7 +17,7 @@
 
 /** Returns the hosts that reach the store and lack its latest change. */
 function behind(model: StoreWatchModel): number[] {
-	return model.connected().filter(index => model.hosts[index]!.tracker.revision < model.revision);
+	return model.connected().filter(index => compareVersions(model.hosts[index]!.tracker.version, model.version) < 0);
 }
 
 describe('RevisionTracker', () => {
@@ -100,4 +103,129 @@
 		model.run(10_000);
 		expect(model.watchers).toEqual(designated);
 	});
+
+	// Guards against hosts that never read what a restored store has, since they saw a higher revision before.
+	describe('with a store that is restored', () => {
+		const at = (revision: number, era: number) => ({era, revision});
+		const trackerAt = (revision: number, era: number) => {
+			const tracker = new RevisionTracker(new SeededRandom(1), 0);
+			tracker.adopt(at(revision, era));
+			tracker.recordFullRead(era);
+			return tracker;
+		};
+
+		it('brings the restored state and a change after it to all hosts that reach the store, also if the watchers do not and after two restores', () => {
+			fc.assert(fc.property(fc.record({
+				seed: fc.nat(10_000),
+				hosts: fc.integer({min: 3, max: 12}),
+				cutsWatchers: fc.boolean(),
+				gapMs: fc.nat(1500),
+				restores: fc.integer({min: 1, max: 2}),
+			}), ({seed, hosts, cutsWatchers, gapMs, restores}) => {
+				const model = settled({hosts, seed});
+				model.revision = 50;
+				model.run(1000);
+				for (const index of cutsWatchers ? model.watchers : []) {
+					model.hosts[index]!.isCut = true;
+				}
+
+				for (let count = 0; count < restores; count++) {
+					model.restore(20);
+					model.run(gapMs);
+				}
+
+				model.revision++;
+				model.run(drainMs);
+				expect(behind(model)).toEqual([]);
+			}), {numRuns: 60, seed: 31});
+		});
+
+		// Guards against a fleet in the middle of an upgrade in which old hosts keep upgraded ones from a newer state, or take them back to an older one.
+		it('brings every later state, and no earlier one, to all upgraded hosts that reach the store, whichever hosts are of the release before', () => {
+			fc.assert(fc.property(fc.record({
+				seed: fc.nat(10_000),
+				legacy: fc.array(fc.boolean(), {minLength: 3, maxLength: 10}),
+				lostRevisions: fc.integer({min: 1, max: 40}),
+			}), ({seed, legacy, lostRevisions}) => {
+				const model = new StoreWatchModel({hosts: legacy.length, seed});
+				for (const [index, host] of model.hosts.entries()) {
+					host.isLegacy = legacy[index]!;
+				}
+
+				const upgraded = () => model.connected().filter(index => !model.hosts[index]!.isLegacy);
+				model.era = 1;
+				model.revision = 50;
+				model.run(settleMs);
+				expect(upgraded().map(index => model.hosts[index]!.tracker.version)).toEqual(upgraded().map(() => at(50, 1)));
+				model.restore(50 - lostRevisions);
+				for (let change = 0; change < 3; change++) {
+					model.revision += 10;
+					model.run(drainMs);
+					expect(upgraded().map(index => model.hosts[index]!.tracker.version)).toEqual(upgraded().map(() => model.version));
+				}
+			}), {numRuns: 40, seed: 37});
+		});
+
+		it('orders reports by era, then by revision', () => {
+			const tracker = trackerAt(50, 2);
+			expect(tracker.recordVersion(at(90, 1), 'late', 0)).toEqual([]);
+			expect(tracker.recordVersion(at(50, 2), 'equal', 0)).toEqual([]);
+			expect(tracker.recordVersion(at(3, 3), 'newer', 0)).toEqual([{kind: 'pull', address: 'newer'}]);
+			expect([tracker.adopt(at(99, 1)), tracker.adopt(at(3, 3))]).toEqual([false, true]);
+		});
+
+		it('reads the store itself, if it does not watch it, only once peers had time to', () => {
+			const tracker = trackerAt(50, 1);
+			expect(tracker.recordStoreEra(2, 100)).toEqual([]);
+			expect(tracker.tick(1050, 5).some(effect => effect.kind === 'read_store')).toBe(false);
+			expect(tracker.tick(1150, 5)).toContainEqual({kind: 'read_store'});
+			expect(tracker.tick(1250, 5)).not.toContainEqual({kind: 'read_store'});
+			expect(tracker.tick(3200, 5)).toContainEqual({kind: 'read_store'});
+			tracker.adopt(at(20, 2));
+			expect(tracker.tick(6000, 5)).not.toContainEqual({kind: 'read_store'});
+		});
+
+		it('lets a watcher read the store as soon as a probe states a new era, and report no contact before', () => {
+			const tracker = trackerAt(50, 1);
+			tracker.tick(10, 0);
+			expect(tracker.recordProbeAnswer(2, 20)).toEqual([{kind: 'read_store'}]);
+			tracker.adopt(at(20, 2));
+			expect(tracker.recordProbeAnswer(2, 30)).toEqual([{kind: 'report_contact'}]);
+		});
+
+		it('takes a probe that a lagging copy of the store answered with the era before for no contact', () => {
+			const tracker = trackerAt(20, 2);
+			tracker.tick(10, 0);
+			expect(tracker.recordProbeAnswer(1, 20)).toEqual([]);
+		});
+
+		const uselessContacts = [{name: 'of the era before', version: at(90, 1)}, {name: 'without an era', version: at(90, 0)}];
+
+		it.each(uselessContacts)('does not rely on the contact of a watcher $name, which brings no changes', ({version}) => {
+			const tracker = trackerAt(20, 2);
+			for (let nowMs = 100; nowMs <= 1500; nowMs += 100) {
+				tracker.recordReportedContact(version, 0, nowMs);
+				tracker.tick(nowMs, 5);
+			}
+
+			expect(tracker.recordProbeAnswer(2, 1600)).toContainEqual({kind: 'watch', isWatching: true});
+			tracker.recordReportedContact(version, 0, 1650);
+			expect(tracker.isSubstitute).toBe(true);
+		});
+
+		it('asks a peer without an era only while it has no other source, and not more often than every 2 s', () => {
+			const tracker = trackerAt(20, 2);
+			expect(tracker.recordVersion(at(90, 0), 'old', 500)).toEqual([]);
+			expect(tracker.recordVersion(at(90, 0), 'old', 2000)).toEqual([{kind: 'pull_unordered', address: 'old'}]);
+			expect(tracker.recordVersion(at(91, 0), 'old', 2100)).toEqual([]);
+		});
+
+		it('forgets an era that only a corrupt message named, once the store was read', () => {
+			const tracker = trackerAt(20, 2);
+			tracker.recordVersion(at(1, 999), 'corrupt', 100);
+			expect(tracker.isBehindEra).toBe(true);
+			tracker.recordFullRead(2);
+			expect(tracker.isBehindEra).toBe(false);
+		});
+	});
 });
--- a/src/decisions/revision-tracker.ts
+++ b/src/decisions/revision-tracker.ts
@@ -1,9 +1,14 @@
+import {type StoreVersion} from '../contracts/store-version.js';
+import {compareVersions} from './compare-versions.js';
+import {EraTracker} from './era-tracker.js';
 import {type SeededRandom} from './seeded-random.js';
 
 type Effect =
 	/** Pulls the changes since the local revision from the daemon at this address. */
 	| {readonly kind: 'pull'; readonly address: string}
-	/** Reads the current state from the store once. */
+	/** Pulls from a daemon that states no era; only what can be ordered without one may be taken from its response. */
+	| {readonly kind: 'pull_unordered'; readonly address: string}
+	/** Reads the current state from the store; a host that watches it then watches from what it read. */
 	| {readonly kind: 'read_store'}
 	/** Starts or stops the watch on the store. */
 	| {readonly kind: 'watch'; readonly isWatching: boolean}
@@ -34,34 +39,41 @@
 const storeReadDelayMs = 1500;
 /** Shortest time between store reads by a host that has no revision yet. */
 const storeReadIntervalMs = 2000;
+/** Shortest time between pulls from daemons that state no era: their responses have all items. */
+const unorderedPullIntervalMs = 2000;
 /** Number of peers remembered as sources of the newest reported revision. */
 const maxSources = 4;
 
 /**
  * Decides where a host obtains new revisions of the configuration or the routes: a few designated members of each region
- * watch the store, and the others pull from peers that report a newer revision. A revision is adopted only if it is
- * higher than the current one.
+ * watch the store, and the others pull from peers that report a newer version. A version is adopted only if it is
+ * higher than the current one, by era and then by revision.
  *
  * A watcher that is cut off, frozen or dead reports nothing, and neither does a store without changes. Watchers therefore
  * probe the store and report each contact to their region. A host that hears of no contact probes the store itself, and
  * watches it as a substitute once it has been answered.
+ *
+ * Hosts of the release before state no era. To a host that knows the store's era their revisions say nothing: they are neither
+ * newer nor older, and their contact to the store does not stand for its own.
  */
 export class RevisionTracker {
 	readonly #random: SeededRandom;
 	readonly #startMs: number;
 	readonly #timing: Timing;
-	#revision = 0;
-	#newestReported: {revision: number; sources: string[]} = {revision: 0, sources: []};
+	readonly #eras = new EraTracker();
+	#version: StoreVersion = {era: 0, revision: 0};
+	#newestReported: {version: StoreVersion; sources: string[]} = {version: {era: 0, revision: 0}, sources: []};
 	#pull: {readonly address: string; readonly startMs: number} | undefined;
 	#isWatching = false;
 	#isSubstitute = false;
 	#rank = Number.POSITIVE_INFINITY;
 	/** Latest time at which the store answered this host or a watcher whose changes this host has. */
 	#contactMs: number;
-	/** Latest reported contact, with the revision that the watcher had. */
-	#reportedContact: {readonly revision: number; readonly atMs: number} | undefined;
+	/** Latest reported contact, with the version that the watcher had. */
+	#reportedContact: {readonly version: StoreVersion; readonly atMs: number} | undefined;
 	#lastProbeMs = Number.NEGATIVE_INFINITY;
 	#lastStoreReadMs = Number.NEGATIVE_INFINITY;
+	#lastUnorderedPullMs = Number.NEGATIVE_INFINITY;
 
 	constructor(random: SeededRandom, startMs: number, timing: Timing = defaultTiming) {
 		this.#random = random;
@@ -72,7 +84,17 @@
 
 	/** Current revision of this host; 0 before the first one. */
 	get revision(): number {
-		return this.#revision;
+		return this.#version.revision;
+	}
+
+	/** Current version of this host. */
+	get version(): StoreVersion {
+		return this.#version;
+	}
+
+	/** Whether this host has heard of an era of the store whose items it does not have. */
+	get isBehindEra(): boolean {
+		return this.#eras.isBehind;
 	}
 
 	/** Whether this host watches the store. */
@@ -85,14 +107,19 @@
 		return this.#isSubstitute;
 	}
 
-	/** Records that a peer reported a revision; starts a pull if it is newer and none is in progress. */
-	recordRevision(revision: number, address: string, nowMs: number): Effect[] {
-		if (revision <= this.#revision || revision < this.#newestReported.revision) {
+	/** Records that a peer reported a version; starts a pull if it is newer and none is in progress. */
+	recordVersion(version: StoreVersion, address: string, nowMs: number): Effect[] {
+		if (version.era === 0 && this.#version.era > 0) {
+			return this.#pullUnordered(address, nowMs);
+		}
+
+		this.#eras.hear(version.era, nowMs);
+		if (compareVersions(version, this.#version) <= 0 || compareVersions(version, this.#newestReported.version) < 0) {
 			return [];
 		}
 
-		if (revision > this.#newestReported.revision) {
-			this.#newestReported = {revision, sources: []};
+		if (compareVersions(version, this.#newestReported.version) > 0) {
+			this.#newestReported = {version, sources: []};
 		}
 
 		if (!this.#newestReported.sources.includes(address)) {
@@ -103,28 +130,58 @@
 		return this.#startPull(nowMs);
 	}
 
-	/** Adopts the revision of a complete, validated configuration if it is higher; returns whether it was adopted. */
-	adopt(revision: number): boolean {
+	/** Adopts the version of a complete, validated configuration if it is higher; returns whether it was adopted. */
+	adopt(version: StoreVersion): boolean {
 		this.#pull = undefined;
-		if (revision <= this.#revision) {
+		if (compareVersions(version, this.#version) <= 0) {
 			return false;
 		}
 
-		this.#revision = revision;
+		this.#version = version;
+		this.#eras.enter(version.era);
 		this.#countReportedContact();
 		return true;
 	}
 
-	/** Records that the store answered a probe of this host. */
-	recordProbeAnswer(nowMs: number): Effect[] {
+	/** Records the era that the store stated to this host in any response, and reads the store if it is newer and nobody else is likely to. */
+	recordStoreEra(era: number, nowMs: number): Effect[] {
+		this.#eras.hear(era, nowMs);
+		return this.#readIfBehind(nowMs);
+	}
+
+	/** Records that the store stated an era in a full read, which no other statement outranks. */
+	recordFullRead(era: number): void {
+		this.#eras.confirm(era);
+	}
+
+	/** Records that the store answered a probe of this host, and the era that it stated. Of an older era, the answer is late and says nothing. */
+	recordProbeAnswer(era: number, nowMs: number): Effect[] {
+		if (era < this.#version.era) {
+			return [];
+		}
+
 		const effects = this.#isStale(nowMs) && !this.#isDesignated() ? this.#setSubstitute(true) : [];
+		if (era > this.#version.era) {
+			// The watch that begins now, or is restarted, reads all items first. Until then this host lacks changes and reports no contact.
+			const reads = this.recordStoreEra(era, nowMs);
+			return effects.length > 0 ? effects : reads;
+		}
+
 		this.#contactMs = nowMs;
 		return this.#isWatching ? [...effects, {kind: 'report_contact'}] : effects;
 	}
 
-	/** Records that the store has just answered a watcher of this region, which has this revision and this rank. */
-	recordReportedContact(revision: number, rank: number, nowMs: number): Effect[] {
-		this.#reportedContact = {revision, atMs: nowMs};
+	/**
+	 * Records that the store has just answered a watcher of this region, which has this version and this rank. A watcher of an older era
+	 * delivers no changes of this one, so that its contact does not count.
+	 */
+	recordReportedContact(version: StoreVersion, rank: number, nowMs: number): Effect[] {
+		if (version.era < this.#version.era) {
+			return [];
+		}
+
+		this.#eras.hear(version.era, nowMs);
+		this.#reportedContact = {version, atMs: nowMs};
 		this.#countReportedContact();
 		return rank < this.#rank ? this.#setSubstitute(false) : [];
 	}
@@ -151,13 +208,27 @@
 			effects.push(...this.recordPullFailure(this.#pull.address, nowMs));
 		}
 
-		const isBootstrapping = this.#revision === 0 && nowMs - this.#startMs >= storeReadDelayMs;
+		const isBootstrapping = this.#version.revision === 0 && nowMs - this.#startMs >= storeReadDelayMs;
 		if (isBootstrapping && !this.#isWatching && nowMs - this.#lastStoreReadMs >= storeReadIntervalMs) {
 			this.#lastStoreReadMs = nowMs;
 			effects.push({kind: 'read_store'});
 		}
 
-		return effects;
+		return [...effects, ...this.#readIfBehind(nowMs)];
+	}
+
+	#readIfBehind(nowMs: number): Effect[] {
+		return this.#eras.isReadDue(nowMs, this.#isWatching) ? [{kind: 'read_store'}] : [];
+	}
+
+	/** A host without contact to the store and to daemons that know the era asks those that do not: they may have a newer configuration. */
+	#pullUnordered(address: string, nowMs: number): Effect[] {
+		if (!this.#isStale(nowMs) || nowMs - this.#lastUnorderedPullMs < unorderedPullIntervalMs) {
+			return [];
+		}
+
+		this.#lastUnorderedPullMs = nowMs;
+		return [{kind: 'pull_unordered', address}];
 	}
 
 	#isDesignated(): boolean {
@@ -171,7 +242,7 @@
 
 	/** Counts a watcher's contact as this host's own once this host has the watcher's changes. */
 	#countReportedContact(): void {
-		if (this.#reportedContact !== undefined && this.#reportedContact.revision <= this.#revision) {
+		if (this.#reportedContact?.version.era === this.#version.era && this.#reportedContact.version.revision <= this.#version.revision) {
 			this.#contactMs = Math.max(this.#contactMs, this.#reportedContact.atMs);
 		}
 	}
@@ -188,7 +259,7 @@
 	}
 
 	#startPull(nowMs: number): Effect[] {
-		if (this.#pull !== undefined || this.#newestReported.revision <= this.#revision || this.#newestReported.sources.length === 0) {
+		if (this.#pull !== undefined || compareVersions(this.#newestReported.version, this.#version) <= 0 || this.#newestReported.sources.length === 0) {
 			return [];
 		}
 
--- a/src/decisions/store-outage.ts
+++ b/src/decisions/store-outage.ts
@@ -1,12 +1,13 @@
 /**
  * Determines how long keys that are missing from the store are kept, because their leases may have expired only while the
- * store was unavailable. The time is counted from the last failed call, which is no later than the recovery of the store, so
- * that a key removed after the recovery is never kept for longer than that time.
+ * store was unavailable, or because a store restored from an earlier copy lacks them until they are written again. The time is counted from the last failed call, which is no later than the recovery of the store, so
+ * that a key removed after the recovery is never kept for longer than that time, and from the first contact to a new era.
  */
 export class StoreOutage {
 	readonly #reappearanceMs: number;
 	#isUnavailable = false;
 	#lastFailureMs = Number.NEGATIVE_INFINITY;
+	#eraSinceMs = Number.NEGATIVE_INFINITY;
 
 	/** `reappearanceMs` is the time after the store's recovery in which expired entries may be written again, in milliseconds. */
 	constructor(reappearanceMs: number) {
@@ -33,8 +34,18 @@
 		return wasUnavailable;
 	}
 
+	/** Records the first contact to a new era of the store. */
+	recordNewEra(nowMs: number): void {
+		this.#eraSinceMs = nowMs;
+	}
+
+	/** Returns the time from which an entry that a new era lacks counts as removed, whoever found it missing, in monotonic milliseconds. */
+	eraRetainUntilMs(nowMs: number): number {
+		return Math.max(nowMs, this.#eraSinceMs + this.#reappearanceMs);
+	}
+
 	/** Returns the time from which an entry found missing now counts as removed, in monotonic milliseconds. */
 	retainUntilMs(nowMs: number): number {
-		return Math.max(nowMs, this.#lastFailureMs + this.#reappearanceMs);
+		return Math.max(this.eraRetainUntilMs(nowMs), this.#lastFailureMs + this.#reappearanceMs);
 	}
 }
--- a/src/services/config-service.ts
+++ b/src/services/config-service.ts
@@ -63,11 +63,11 @@
 
 	start(lifecycle: Lifecycle): void {
 		const {members, revisionTracker, clock} = this.#options;
-		members.onRevision((revision, address) => {
-			this.#runEffects(revisionTracker.recordRevision(revision, address, clock.nowMs()));
+		members.onRevision((version, address) => {
+			this.#runEffects(revisionTracker.recordVersion(version, address, clock.nowMs()));
 		});
-		members.onStoreContact((revision, rank) => {
-			this.#runEffects(revisionTracker.recordReportedContact(revision, rank, clock.nowMs()));
+		members.onStoreContact((version, rank) => {
+			this.#runEffects(revisionTracker.recordReportedContact(version, rank, clock.nowMs()));
 		});
 		lifecycle.every('configuration tick', tickMs, () => {
 			this.#runEffects(revisionTracker.tick(clock.nowMs(), members.membership.delegateRank()));
@@ -85,7 +85,8 @@
 	#runEffects(effects: RevisionTrackerEffects): void {
 		for (const effect of effects) {
 			switch (effect.kind) {
-				case 'pull': {
+				case 'pull':
+				case 'pull_unordered': {
 					void this.#pull(effect.address);
 					break;
 				}
@@ -135,7 +136,9 @@
 
 	#adopt(next: Configuration, source: string): void {
 		const {revisionTracker, logger, members} = this.#options;
-		if (!revisionTracker.adopt(next.revision)) {
+		// The revision of a manifest is the publisher's own count, which has no eras.
+		const version = {era: 0, revision: next.revision};
+		if (!revisionTracker.adopt(version)) {
 			return;
 		}
 
@@ -146,7 +149,7 @@
 		this.#current = next;
 		this.#history.add(next.manifest);
 		logger.info('configuration in force', {revision: next.revision, source});
-		members.run(members.membership.setRevision(next.revision, revisionTracker.isWatching));
+		members.run(members.membership.setVersion(version, revisionTracker.isWatching));
 		for (const listener of this.#listeners) {
 			listener(next);
 		}
@@ -195,7 +198,7 @@
 	async #probeStore(): Promise<void> {
 		const {revisionTracker, clock} = this.#options;
 		if (await this.#readStore()) {
-			this.#runEffects(revisionTracker.recordProbeAnswer(clock.nowMs()));
+			this.#runEffects(revisionTracker.recordProbeAnswer(0, clock.nowMs()));
 		}
 	}
 
--- a/src/services/gossip-wire.test.ts
+++ b/src/services/gossip-wire.test.ts
@@ -1,6 +1,8 @@
+import {decode} from '@msgpack/msgpack';
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {GossipMessage} from '../contracts/gossip-message.js';
+import {newsFor} from '../decisions/news-for.js';
 import {gossipWire} from './gossip-wire.js';
 
 const member = {
@@ -29,6 +31,12 @@
 	{
 		kind: 'news', contactOf: 'dsm-a-1/0123abcd', contactRevision: 6, ...common,
 	},
+	{
+		kind: 'news', contactOf: 'dsm-a-1/0123abcd', contactRevision: 6, era: 2, contactEra: 3, ...common,
+	},
+	{
+		kind: 'ack', seq: 2, era: 2, ...common,
+	},
 	{
 		kind: 'region', step: 1, region: 'dsm', ownVersion: 1, ownHash: 2, knownVersion: 3, knownHash: 4, ...common,
 	},
@@ -39,6 +47,19 @@
 		expect(gossipWire.decode(gossipWire.encode(message))).toEqual(message);
 	});
 
+	// Guards against datagrams that hosts of the release before drop, or take for something else, during an upgrade.
+	it('puts the era behind all fields that the release before reads', () => {
+		const fieldsOf = (message: GossipMessage) => (decode(gossipWire.encode(message)) as unknown[]).slice(7);
+		expect(fieldsOf({
+			kind: 'ping', seq: 1, to: 'x/1', era: 2, ...common,
+		})).toEqual([1, 'x/1', 2]);
+		expect(fieldsOf(newsFor(member, {era: 2, ...common}))).toEqual(['dsm-a-1/0123abcd', 0, 2]);
+		expect(fieldsOf(newsFor(member, {
+			contactOf: 'y/2', contactRevision: 6, era: 2, contactEra: 3, ...common,
+		}))).toEqual(['y/2', 6, 2, 3]);
+		expect(fieldsOf(newsFor(member, common))).toEqual([]);
+	});
+
 	it('returns undefined for a malformed datagram instead of throwing', () => {
 		fc.assert(fc.property(fc.uint8Array({maxLength: 300}), data => {
 			expect(gossipWire.decode(data)).toBeUndefined();
--- a/src/services/gossip-wire.ts
+++ b/src/services/gossip-wire.ts
@@ -39,14 +39,14 @@
 	},
 };
 
-/** Names of the fields that follow the common fields, by message kind, in wire order. */
+/** Names of the fields that follow the common fields, by message kind, in wire order. The era came later, so that earlier releases ignore it there. */
 const restFields: Readonly<Record<string, readonly string[]>> = {
-	ping: ['seq', 'to'],
-	ack: ['seq'],
-	'ping-req': ['seq', 'target', 'targetAddress'],
-	gone: ['gone'],
-	news: ['contactOf', 'contactRevision'],
-	region: ['step', 'region', 'ownVersion', 'ownHash', 'knownVersion', 'knownHash'],
+	ping: ['seq', 'to', 'era'],
+	ack: ['seq', 'era'],
+	'ping-req': ['seq', 'target', 'targetAddress', 'era'],
+	gone: ['gone', 'era'],
+	news: ['contactOf', 'contactRevision', 'era', 'contactEra'],
+	region: ['step', 'region', 'ownVersion', 'ownHash', 'knownVersion', 'knownHash', 'era'],
 };
 
 function packRest(kind: string, fields: Readonly<Record<string, unknown>>): unknown[] {
--- a/src/services/members-service.test.ts
+++ b/src/services/members-service.test.ts
@@ -38,7 +38,7 @@
 		}]);
 		await lifecycle.close();
 		const sentBefore = metrics.render();
-		const effects = membership.setRevision(7);
+		const effects = membership.setVersion({era: 0, revision: 7});
 		expect(effects.some(effect => effect.kind === 'send')).toBe(true);
 		members.run(effects);
 		expect(metrics.render()).toBe(sentBefore);
--- a/src/services/members-service.ts
+++ b/src/services/members-service.ts
@@ -5,6 +5,7 @@
 import {type HostList} from '../contracts/host-list.js';
 import {type Member} from '../contracts/member.js';
 import {type MemberUpdate} from '../contracts/member-update.js';
+import {type StoreVersion} from '../contracts/store-version.js';
 import {memberKey} from '../decisions/member-key.js';
 import {type Membership} from '../decisions/membership.js';
 import {rendezvousOrder} from '../decisions/rendezvous-order.js';
@@ -40,8 +41,8 @@
 	readonly #options: MembersOptions;
 	readonly #socket = createSocket('udp4');
 	readonly #changeListeners: Array<() => void> = [];
-	readonly #revisionListeners: Array<(revision: number, address: string) => void> = [];
-	readonly #storeContactListeners: Array<(revision: number, rank: number) => void> = [];
+	readonly #revisionListeners: Array<(version: StoreVersion, address: string) => void> = [];
+	readonly #storeContactListeners: Array<(version: StoreVersion, rank: number) => void> = [];
 	readonly #owners = new Map<string, Member>();
 	#listedAddresses: ReadonlySet<string> = new Set();
 	#pollCount = 0;
@@ -87,13 +88,13 @@
 		this.#changeListeners.push(listener);
 	}
 
-	/** Registers a listener that is called when a peer reports a newer configuration revision. */
-	onRevision(listener: (revision: number, address: string) => void): void {
+	/** Registers a listener that is called when a peer reports a newer version, or one without an era while this host knows the era. */
+	onRevision(listener: (version: StoreVersion, address: string) => void): void {
 		this.#revisionListeners.push(listener);
 	}
 
-	/** Registers a listener that is called when a watcher of the region, with this revision and rank, reports that the store has just answered it. */
-	onStoreContact(listener: (revision: number, rank: number) => void): void {
+	/** Registers a listener that is called when a watcher of the region, with this version and rank, reports that the store has just answered it. */
+	onStoreContact(listener: (version: StoreVersion, rank: number) => void): void {
 		this.#storeContactListeners.push(listener);
 	}
 
@@ -164,7 +165,7 @@
 
 				case 'revision': {
 					for (const listener of this.#revisionListeners) {
-						listener(effect.revision, effect.address);
+						listener(effect.version, effect.address);
 					}
 
 					break;
@@ -172,7 +173,7 @@
 
 				case 'store_contact': {
 					for (const listener of this.#storeContactListeners) {
-						listener(effect.revision, effect.rank);
+						listener(effect.version, effect.rank);
 					}
 
 					break;
--- a/src/services/replica-service.test.ts
+++ b/src/services/replica-service.test.ts
@@ -2,7 +2,9 @@
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import {type PrefixStore} from '../contracts/prefix-store.js';
+import {type StoreChange} from '../contracts/store-change.js';
 import {type StoreItem} from '../contracts/store-item.js';
+import {type StoreVersion} from '../contracts/store-version.js';
 import {RevisionTracker} from '../decisions/revision-tracker.js';
 import {SeededRandom} from '../decisions/seeded-random.js';
 import {StoreOutage} from '../decisions/store-outage.js';
@@ -13,30 +15,44 @@
 import {type PeerClient} from './peer-client.js';
 import {ReplicaService} from './replica-service.js';
 
+const at = (revision: number, era = 0) => ({era, revision});
 const itemAt = (key: string, revision: number): StoreItem => ({key, value: 'v', revision});
-const clock = {nowMs: () => 1000};
-const unusedStore: Partial<PrefixStore> = {};
+const unreachable = async () => ({success: false, error: {code: 'unavailable', message: ''}} as const);
+const unreachableStore: Partial<PrefixStore> = {ping: unreachable, list: unreachable};
 
 describe('ReplicaService', () => {
 	const lifecycle = new Lifecycle();
 	/** Response of the peer, in the format of the release under test. */
 	let response: unknown;
 	let replica: ReplicaService;
-	let reportRevision: (revision: number, address: string) => void;
+	let reportRevision: (version: StoreVersion, address: string) => void;
+	let requests: unknown[];
+	let nowMs: number;
 
 	beforeEach(() => {
+		nowMs = 500;
+		requests = [];
 		replica = new ReplicaService({
 			revisionTracker: new RevisionTracker(new SeededRandom(1), 0),
-			outage: new StoreOutage(0),
-			clock,
-			store: unusedStore as PrefixStore,
-			logger: {info: () => undefined, debug: () => undefined} as unknown as Logger,
+			outage: new StoreOutage(2200),
+			clock: {nowMs: () => nowMs},
+			store: unreachableStore as PrefixStore,
+			logger: {info: () => undefined, warn: () => undefined, debug: () => undefined} as unknown as Logger,
 			metrics: new Metrics(),
-			peerClient: {steering: () => ({items: {mutate: async () => response}})} as unknown as PeerClient,
+			peerClient: {
+				steering: () => ({
+					items: {
+						async mutate(request: unknown) {
+							requests.push(request);
+							return response;
+						},
+					},
+				}),
+			} as unknown as PeerClient,
 			seeds: [],
 		});
 		replica.follow({
-			membership: {setRevision: () => [], delegateRank: () => 5},
+			membership: {setVersion: () => [], delegateRank: () => 5},
 			run: () => undefined,
 			onStoreContact: () => undefined,
 			onRevision(listener: typeof reportRevision) {
@@ -53,26 +69,95 @@
 
 	describe('with a peer of the release before, which knows no gaps', () => {
 		it('sends all items if removals are unknown', () => {
-			replica.items.applyFullRead([itemAt('a', 2)], 3, 0);
-			replica.items.applyFullRead([itemAt('a', 2), itemAt('b', 5)], 6, 0);
-			expect(replica.changesSince(3, false)).toMatchObject({isWhole: true, revision: 6, items: [itemAt('a', 2), itemAt('b', 5)]});
-			expect(replica.changesSince(3, true)).toMatchObject({isWhole: false, sinceRevision: 3, items: [itemAt('b', 5)]});
+			replica.items.applyFullRead([itemAt('a', 2)], at(3), 0);
+			replica.items.applyFullRead([itemAt('a', 2), itemAt('b', 5)], at(6), 0);
+			expect(replica.changesSince({revision: 3, era: undefined}, false)).toMatchObject({isWhole: true, revision: 6, items: [itemAt('a', 2), itemAt('b', 5)]});
+			expect(replica.changesSince({revision: 3, era: undefined}, true)).toMatchObject({isWhole: false, sinceRevision: 3, items: [itemAt('b', 5)]});
 		});
 
 		it('takes over its changes and its whole state', async () => {
-			replica.items.applyFullRead([itemAt('a', 2)], 3, 0);
+			replica.items.applyFullRead([itemAt('a', 2)], at(3), 0);
 			response = {
 				revision: 4, isWhole: false, items: [itemAt('b', 4)], removals: [],
 			};
-			reportRevision(4, 'peer');
+			reportRevision(at(4), 'peer');
 			await expect.poll(() => replica.items.revision).toBe(4);
 			expect(keys()).toEqual(['a', 'b']);
 			response = {
 				revision: 8, isWhole: true, items: [itemAt('c', 7)], removals: [],
 			};
-			reportRevision(8, 'peer');
+			reportRevision(at(8), 'peer');
 			await expect.poll(() => replica.items.revision).toBe(8);
 			expect(keys()).toEqual(['c']);
 		});
 	});
+
+	describe('after a restore of the store', () => {
+		let changes: StoreChange[];
+		let eras: Array<readonly [number, number]>;
+		const whole = (era: number | undefined, revision: number, ...items: StoreItem[]) => ({
+			...(era !== undefined && {era}), revision, isWhole: true, sinceRevision: 0, items, removals: [], gaps: [],
+		});
+
+		beforeEach(async () => {
+			[changes, eras] = [[], []];
+			response = whole(1, 100, itemAt('a', 80));
+			reportRevision(at(100, 1), 'peer');
+			await expect.poll(() => replica.items.version).toEqual(at(100, 1));
+			requests = [];
+			replica.onChange(list => {
+				changes.push(...list);
+			});
+			replica.onNewEra((era, retainUntilMs) => {
+				eras.push([era, retainUntilMs]);
+			});
+		});
+
+		it('takes over all items of a peer that has the new era, below the revision known before, and retains what they lack', async () => {
+			response = whole(2, 50, itemAt('b', 40));
+			reportRevision(at(50, 2), 'peer');
+			await expect.poll(() => replica.items.version).toEqual(at(50, 2));
+			expect(requests).toEqual([{haveRevision: 100, haveEra: 1, acceptsGaps: true}]);
+			expect([keys(), eras]).toEqual([['b'], [[2, 2700]]]);
+			expect(changes).toContainEqual({
+				kind: 'removed', key: 'a', revision: 50, retainUntilMs: 2700, isLost: true,
+			});
+		});
+
+		it('drops the late response of a peer that still has the era before', async () => {
+			replica.items.applyFullRead([itemAt('b', 40)], at(50, 2), 0);
+			response = whole(1, 101, itemAt('a', 101));
+			reportRevision(at(9, 3), 'peer');
+			await expect.poll(() => requests).toHaveLength(1);
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+			expect([keys(), replica.items.version]).toEqual([['b'], at(50, 2)]);
+		});
+
+		it('sends all items to a peer of another era, and changes to one of its own', () => {
+			replica.items.applyFullRead([itemAt('b', 40)], at(50, 2), 0);
+			replica.items.applyChanges([{kind: 'written', item: itemAt('c', 60)}], at(60, 2));
+			expect(replica.changesSince({revision: 55, era: 1}, true)).toMatchObject({era: 2, isWhole: true, items: [itemAt('b', 40), itemAt('c', 60)]});
+			expect(replica.changesSince({revision: 55, era: 2}, true)).toMatchObject({era: 2, isWhole: false, items: [itemAt('c', 60)]});
+		});
+
+		it('sends changes to a peer of the release before as long as the era did not change, then all items with revisions that it takes for new', () => {
+			replica.items.applyChanges([{kind: 'written', item: itemAt('c', 110)}], at(110, 1));
+			expect(replica.changesSince({revision: 105, era: undefined}, true)).toMatchObject({isWhole: false, items: [itemAt('c', 110)]});
+			replica.recordStoreEra(2, 'store');
+			replica.items.applyFullRead([itemAt('a', 40)], at(120, 2), 0);
+			expect(replica.changesSince({revision: 110, era: undefined}, true)).toMatchObject({isWhole: true, revision: 120, items: [itemAt('a', 120)]});
+		});
+
+		it('does not pull from a peer of the release before while it has other sources, and does not mix its items in while it has none', async () => {
+			response = whole(undefined, 200, itemAt('a', 190));
+			reportRevision(at(200), 'old');
+			expect(requests).toEqual([]);
+			nowMs = 5000;
+			reportRevision(at(200), 'old');
+			await expect.poll(() => changes).toEqual([{kind: 'written', item: itemAt('a', 190), origin: 'unordered'}]);
+			expect(replica.items.get('a')).toEqual(itemAt('a', 80));
+		});
+	});
 });
--- a/src/services/replica-service.ts
+++ b/src/services/replica-service.ts
@@ -5,12 +5,14 @@
 import {type RevisionTracker} from '../decisions/revision-tracker.js';
 import {ItemReplica} from '../decisions/item-replica.js';
 import {type StoreOutage} from '../decisions/store-outage.js';
+import {compareVersions} from '../decisions/compare-versions.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
 import {type Logger} from './logger.js';
 import {type MembersService} from './members-service.js';
 import {type Metrics} from './metrics.js';
 import {pause} from './pause.js';
 import {type PeerClient} from './peer-client.js';
+import {StoreReader} from './store-reader.js';
 
 type ReplicaOptions = {
 	readonly revisionTracker: RevisionTracker;
@@ -28,29 +30,44 @@
 type ChangeListener = (changes: readonly StoreChange[], source: string) => void;
 
 const tickMs = 100;
-/** Maximum duration of one watch; it also bounds a watch on a connection that no longer delivers data. */
-const watchWaitMs = 3000;
-/** Pause after a watch that returned changes, so that consecutive changes are fetched with one call. */
-const batchPauseMs = 150;
 /** Time for which the start of the daemon waits for the first items. */
 const startTimeoutMs = 600;
-/** Bounds of the exponential backoff between retries while the store does not respond. */
-const initialBackoffMs = 200;
-const maxBackoffMs = 400;
 /** Pause between attempts to read the first items. */
 const bootstrapRetryMs = 400;
 
-/** Maintains this host's replica of the store's items. The watchers of a region read them from the store, all other hosts from peers. */
+/**
+ * Maintains this host's replica of the store's items. The watchers of a region read them from the store, all other hosts from peers.
+ * After a restore of the store, all items come from it or from a peer again; until then what is known stays in force.
+ */
 export class ReplicaService {
 	readonly items = new ItemReplica();
 	readonly #options: ReplicaOptions;
 	readonly #listeners: ChangeListener[] = [];
+	readonly #eraListeners: Array<(era: number, retainUntilMs: number) => Promise<void> | void> = [];
+	readonly #reader: StoreReader;
 	#members: MembersService | undefined;
 	#watch: AbortController | undefined;
+	/** Newest era that the store stated to this host, or a peer with items of it. */
+	#statedEra = 0;
+	/** Whether this process had items of an era when it came to a later one. */
+	#hasChangedEra = false;
 	#isClosed = false;
 
 	constructor(options: ReplicaOptions) {
 		this.#options = options;
+		this.#reader = new StoreReader({
+			...options,
+			items: this.items,
+			onEra: era => {
+				this.#noteEra(era, 'store');
+			},
+			onChanges: changes => {
+				this.#propagateChanges(changes, 'store');
+			},
+			onFullRead(era) {
+				options.revisionTracker.recordFullRead(era);
+			},
+		});
 	}
 
 	/** Whether this host's latest call to the store failed. */
@@ -63,6 +80,22 @@
 		this.#listeners.push(listener);
 	}
 
+	/**
+	 * Registers a listener that is called at the first contact to each new era of the store, with the era and the time until
+	 * which what it lacks is retained.
+	 */
+	onNewEra(listener: (era: number, retainUntilMs: number) => Promise<void> | void): void {
+		this.#eraListeners.push(listener);
+	}
+
+	/** Records the era that a response to another service of this host states, and reads the items if they are of an older one. */
+	recordStoreEra(era: number, source: string): void {
+		this.#noteEra(era, source);
+		if (this.#members !== undefined) {
+			this.#runEffects(this.#options.revisionTracker.recordStoreEra(era, this.#options.clock.nowMs()));
+		}
+	}
+
 	/** Starts to read the items from the store or a seed, with retries. Resolves once the first read has succeeded, or after a short timeout. */
 	async start(lifecycle: Lifecycle): Promise<void> {
 		lifecycle.addCleanup('store watch', () => {
@@ -76,29 +109,35 @@
 	follow(members: MembersService, lifecycle: Lifecycle): void {
 		const {revisionTracker, clock} = this.#options;
 		this.#members = members;
-		members.run(members.membership.setRevision(this.items.revision));
-		members.onRevision((revision, address) => {
-			this.#runEffects(revisionTracker.recordRevision(revision, address, clock.nowMs()));
+		members.run(members.membership.setVersion(this.items.version));
+		members.onRevision((version, address) => {
+			this.#runEffects(revisionTracker.recordVersion(version, address, clock.nowMs()));
 		});
-		members.onStoreContact((revision, rank) => {
-			this.#runEffects(revisionTracker.recordReportedContact(revision, rank, clock.nowMs()));
+		members.onStoreContact((version, rank) => {
+			this.#runEffects(revisionTracker.recordReportedContact(version, rank, clock.nowMs()));
 		});
+		this.#options.metrics.gauge('store_era', () => this.items.version.era);
 		this.#options.metrics.gauge('store_watching', () => Number(revisionTracker.isWatching));
 		lifecycle.every('replica tick', tickMs, () => {
 			this.#runEffects(revisionTracker.tick(clock.nowMs(), members.membership.delegateRank()));
 		});
 	}
 
-	/** Returns the changes after a revision, for a peer that has all changes up to it; all items if there are gaps and the peer does not know them. */
-	changesSince(haveRevision: number, acceptsGaps: boolean): ItemPull {
+	/** Returns the changes after a version, for a peer that has all changes up to it; all items if there are gaps and the peer does not know them. */
+	changesSince(have: {readonly revision: number; readonly era: number | undefined}, acceptsGaps: boolean): ItemPull {
 		const nowMs = this.#options.clock.nowMs();
-		const delta = this.items.deltaSince(haveRevision);
-		const {sinceRevision, revision, items, removals, gaps} = delta.gaps.length > 0 && !acceptsGaps ? this.items.deltaSince(0) : delta;
+		const {era} = this.items.version;
+		// A peer of the release before does not know the era of its revision. Once the era has changed here, it may be the one before.
+		const isUnordered = have.era === undefined && this.#hasChangedEra;
+		const delta = this.items.deltaSince({era: have.era ?? era, revision: isUnordered ? 0 : have.revision});
+		const {sinceRevision, version: {revision}, items, removals, gaps} = delta.gaps.length > 0 && !acceptsGaps ? this.items.deltaSince({era, revision: 0}) : delta;
 		return {
+			era,
 			revision,
 			isWhole: sinceRevision === 0,
 			sinceRevision,
-			items: [...items],
+			// Such a peer ignores a value unless its revision is higher than that of the value it has.
+			items: isUnordered ? items.map(item => ({...item, revision})) : [...items],
 			removals: removals.map(removal => [removal.key, removal.revision, Math.max(0, removal.retainUntilMs - nowMs)]),
 			gaps: gaps.map(({afterRevision, upToRevision}) => [afterRevision, upToRevision]),
 		};
@@ -106,7 +145,7 @@
 
 	async #bootstrap(): Promise<void> {
 		while (!this.#isClosed && this.items.revision === 0) {
-			if (await this.#readAll() !== undefined) {
+			if (await this.#reader.readAll() !== undefined) {
 				return;
 			}
 
@@ -122,6 +161,32 @@
 		}
 	}
 
+	/** Records the era that a response of the store states, or of a peer that has items of it. */
+	#noteEra(era: number, source: string): void {
+		const {clock, logger, metrics, outage} = this.#options;
+		if (era <= this.#statedEra) {
+			return;
+		}
+
+		const previousEra = this.#statedEra;
+		this.#statedEra = era;
+		if (this.items.revision === 0) {
+			// A process without items has nothing to retain.
+			return;
+		}
+
+		const nowMs = clock.nowMs();
+		this.#hasChangedEra = true;
+		outage.recordNewEra(nowMs);
+		metrics.count('store_era_changes');
+		logger.warn('the store states a new era; what is known stays in force until all items are read again', {
+			era, previousEra, source, revision: this.items.revision,
+		});
+		for (const listener of this.#eraListeners) {
+			void listener(era, outage.eraRetainUntilMs(nowMs));
+		}
+	}
+
 	#runEffects(effects: RevisionTrackerEffects): void {
 		for (const effect of effects) {
 			switch (effect.kind) {
@@ -130,8 +195,18 @@
 					break;
 				}
 
+				case 'pull_unordered': {
+					void this.#pullUnordered(effect.address);
+					break;
+				}
+
 				case 'read_store': {
-					void this.#readAll();
+					if (this.#watch === undefined) {
+						void this.#reader.readAll();
+					} else {
+						this.#startWatch();
+					}
+
 					break;
 				}
 
@@ -154,50 +229,78 @@
 	}
 
 	async #pull(address: string): Promise<void> {
-		const {peerClient, revisionTracker, clock, logger, metrics} = this.#options;
+		const {peerClient, revisionTracker, clock, logger, metrics, outage} = this.#options;
 		metrics.count('replica_pulls');
 		const startMs = clock.nowMs();
 		try {
-			const haveRevision = this.items.revision;
-			const pull = ItemPull.parse(await peerClient.steering(address).items.mutate({haveRevision, acceptsGaps: true}));
-			const {isWhole, sinceRevision = isWhole ? 0 : haveRevision, gaps = isWhole ? [[0, pull.revision]] : []} = pull;
+			const {era: haveEra, revision: haveRevision} = this.items.version;
+			const pull = ItemPull.parse(await peerClient.steering(address).items.mutate({haveRevision, haveEra, acceptsGaps: true}));
+			const {era = 0, isWhole, sinceRevision = isWhole ? 0 : haveRevision, gaps = isWhole ? [[0, pull.revision]] : []} = pull;
+			this.#noteEra(era, address);
 			const nowMs = clock.nowMs();
 			const changes = this.items.applyDelta({
 				...pull,
+				version: {era, revision: pull.revision},
 				sinceRevision,
 				removals: pull.removals.map(([key, revision, retainMs]) => ({
 					kind: 'removed', key, revision, retainUntilMs: nowMs + retainMs,
 				})),
 				gaps: gaps.map(([afterRevision, upToRevision]) => ({afterRevision, upToRevision})),
-			}, nowMs);
+			}, outage.eraRetainUntilMs(nowMs));
 			const tookMs = nowMs - startMs;
 			metrics.observe('replica_pull_seconds', {scope: isWhole ? 'all' : 'changes'}, tookMs);
 			if (isWhole) {
 				logger.info('all items pulled from a peer', {
-					address, revision: pull.revision, items: pull.items.length, changes: changes.length, tookMs: Math.round(tookMs),
+					address, era, revision: pull.revision, items: pull.items.length, changes: changes.length, tookMs: Math.round(tookMs),
 				});
 			}
 
 			this.#propagateChanges(changes, address);
-			revisionTracker.adopt(this.items.revision);
+			revisionTracker.adopt(this.items.version);
 		} catch (err) {
 			logger.debug('pulling items from a peer failed', {address, err: String(err)});
 			this.#runEffects(revisionTracker.recordPullFailure(address, clock.nowMs()));
 		}
 	}
 
+	/**
+	 * Asks a daemon that states no era for all items, while this host has no other source. Nothing orders them against what is known, so that
+	 * they do not enter the replica; the listeners take from them only what has an order of its own.
+	 */
+	async #pullUnordered(address: string): Promise<void> {
+		const {peerClient, logger, metrics} = this.#options;
+		metrics.count('replica_pulls');
+		try {
+			const pull = ItemPull.parse(await peerClient.steering(address).items.mutate({haveRevision: 0, acceptsGaps: true}));
+			if (pull.era === undefined) {
+				this.#notifyListeners(pull.items.map(item => ({kind: 'written', item, origin: 'unordered'})), address);
+			}
+		} catch (err) {
+			logger.debug('pulling items from a peer failed', {address, err: String(err)});
+		}
+	}
+
+	#notifyListeners(changes: readonly StoreChange[], source: string): void {
+		for (const listener of this.#listeners) {
+			listener(changes, source);
+		}
+	}
+
 	#propagateChanges(changes: readonly StoreChange[], source: string): void {
 		const {revisionTracker, metrics} = this.#options;
 		if (changes.length > 0) {
 			metrics.count('replica_changes', {source: source === 'store' ? 'store' : 'peer'}, changes.length);
-			for (const listener of this.#listeners) {
-				listener(changes, source);
-			}
+			this.#notifyListeners(changes, source);
 		}
 
-		if (this.items.revision > revisionTracker.revision) {
-			revisionTracker.adopt(this.items.revision);
-			this.#members?.run(this.#members.membership.setRevision(this.items.revision, revisionTracker.isWatching));
+		if (compareVersions(this.items.version, revisionTracker.version) > 0) {
+			const isNewEra = this.items.version.era > revisionTracker.version.era;
+			revisionTracker.adopt(this.items.version);
+			this.#members?.run(this.#members.membership.setVersion(this.items.version, revisionTracker.isWatching));
+			if (isNewEra && source !== 'store' && this.#watch !== undefined) {
+				// The watch waits for changes after a revision of another era.
+				this.#startWatch();
+			}
 		}
 	}
 
@@ -211,107 +314,22 @@
 				logger.info('no watcher of the region reports contact to the store; this host watches it too', {revision: this.items.revision});
 			}
 
-			this.#watch = new AbortController();
-			void this.#watchStore(this.#watch.signal);
+			this.#startWatch();
 		}
 	}
 
-	async #probeStore(): Promise<void> {
-		const {store, revisionTracker, clock} = this.#options;
-		const probe = await store.ping();
-		if (this.#isClosed) {
-			return;
-		}
-
-		if (probe.success) {
-			this.#recordStoreResponse();
-			this.#runEffects(revisionTracker.recordProbeAnswer(clock.nowMs()));
-		} else {
-			this.#recordStoreFailure(probe.error);
-		}
-	}
-
-	async #watchStore(signal: AbortSignal): Promise<void> {
-		// The replica has every change up to its revision, from wherever it got them.
-		let afterRevision = this.items.revision === 0 ? undefined : this.items.revision;
-		let backoffMs = initialBackoffMs;
-		while (!signal.aborted) {
-			const nextRevision: number | undefined = afterRevision === undefined ? await this.#readAll() : await this.#watchOnce(afterRevision, signal);
-			if (signal.aborted) {
-				return;
-			}
-
-			if (nextRevision === undefined) {
-				afterRevision = undefined;
-				await pause(backoffMs, signal);
-				backoffMs = Math.min(maxBackoffMs, backoffMs * 2);
-				continue;
-			}
-
-			const hasChanged = nextRevision !== afterRevision;
-			afterRevision = nextRevision;
-			backoffMs = initialBackoffMs;
-			if (hasChanged) {
-				await pause(batchPauseMs, signal);
-			}
-		}
-	}
-
-	/** Waits for one set of changes. Returns the revision from which to continue, or `undefined` if all items have to be read again. */
-	async #watchOnce(afterRevision: number, signal: AbortSignal): Promise<number | undefined> {
-		const read = await this.#options.store.watchPrefix('', afterRevision, watchWaitMs, signal);
-		if (signal.aborted) {
-			return undefined;
-		}
-
-		if (!read.success) {
-			this.#recordStoreFailure(read.error);
-			return undefined;
-		}
-
-		this.#recordStoreResponse();
-		const retainUntilMs = this.#retainUntilMs();
-		const changes = read.data.changes.map((change): StoreChange => (change.kind === 'removed' ? {...change, retainUntilMs} : change));
-		this.#propagateChanges(this.items.applyChanges(changes, read.data.revision), 'store');
-		return read.data.revision;
-	}
-
-	/** Reads all items. Returns the revision from which to watch, or `undefined` if the store does not respond. */
-	async #readAll(): Promise<number | undefined> {
-		const {store, clock, logger} = this.#options;
-		const startMs = clock.nowMs();
-		const read = await store.list('');
-		if (!read.success) {
-			this.#recordStoreFailure(read.error);
-			return undefined;
-		}
-
-		this.#recordStoreResponse();
-		const {items, revision} = read.data;
-		const changes = this.items.applyFullRead(items, revision, this.#retainUntilMs());
-		logger.info('all items read from the store', {
-			revision, items: items.length, changes: changes.length, tookMs: Math.round(clock.nowMs() - startMs),
-		});
-		this.#propagateChanges(changes, 'store');
-		return revision;
-	}
-
-	#retainUntilMs(): number {
-		return this.#options.outage.retainUntilMs(this.#options.clock.nowMs());
-	}
-
-	#recordStoreFailure(err: {readonly code: string; readonly message: string}): void {
-		const {outage, logger, metrics, clock} = this.#options;
-		metrics.count('store_failures', {code: err.code});
-		if (err.code !== 'compacted' && outage.recordFailure(clock.nowMs())) {
-			logger.warn('the store does not answer; what is known stays in force', {code: err.code, err: err.message, revision: this.items.revision});
-		}
+	/** Starts the watch, or starts it again; it reads all items first if it is known that theirs is not the era of the store. */
+	#startWatch(): void {
+		this.#watch?.abort();
+		this.#watch = new AbortController();
+		void this.#reader.watch(this.#options.revisionTracker.isBehindEra, this.#watch.signal);
 	}
 
-	#recordStoreResponse(): void {
-		const {outage, logger} = this.#options;
-		if (outage.recordSuccess()) {
-			logger.info('the store answers again', {revision: this.items.revision});
+	async #probeStore(): Promise<void> {
+		const {revisionTracker, clock} = this.#options;
+		const era = await this.#reader.ping();
+		if (era !== undefined && !this.#isClosed) {
+			this.#runEffects(revisionTracker.recordProbeAnswer(era, clock.nowMs()));
 		}
 	}
 }
--- a/src/services/steering-router.ts
+++ b/src/services/steering-router.ts
@@ -23,8 +23,8 @@
 		...memberProcedures(options),
 		/** Returns the changes of the store's items that the caller does not have yet. */
 		items: trpc.procedure
-			.input(z.object({haveRevision: z.int().min(0), acceptsGaps: z.boolean().default(false)}))
-			.mutation(({input}) => options.replica.changesSince(input.haveRevision, input.acceptsGaps)),
+			.input(z.object({haveRevision: z.int().min(0), haveEra: z.int().min(0).optional(), acceptsGaps: z.boolean().default(false)}))
+			.mutation(({input}) => options.replica.changesSince({revision: input.haveRevision, era: input.haveEra}, input.acceptsGaps)),
 		/** Receives a host's report for its region's planner; returns the assignments that the host lacks. */
 		report: trpc.procedure.input(PlacementReport).mutation(({input}) => options.planner.receiveReport(input)),
 		/** Receives another region's load and offers for this region's planner. */
--- a/src/services/steering-service.ts
+++ b/src/services/steering-service.ts
@@ -4,6 +4,7 @@
 import {type RouteTable} from '../contracts/route-table.js';
 import {type SteeringItemCodec} from '../contracts/steering-item-codec.js';
 import {type StoreChange} from '../contracts/store-change.js';
+import {HeldRemovals} from '../decisions/held-removals.js';
 import {type InstanceTable} from '../decisions/instance-table.js';
 import {RouteMatcher} from '../decisions/route-matcher.js';
 import {TrafficSplit} from '../decisions/traffic-split.js';
@@ -16,7 +17,7 @@
 	readonly clock: Clock;
 	readonly logger: Pick<Logger, 'info' | 'warn' | 'error' | 'limited'>;
 	readonly metrics: Pick<Metrics, 'gauge'>;
-	readonly replica: Pick<ReplicaService, 'onChange'>;
+	readonly replica: Pick<ReplicaService, 'onChange' | 'onNewEra'>;
 	readonly itemCodec: SteeringItemCodec;
 	readonly instances: InstanceTable;
 };
@@ -29,6 +30,9 @@
 	readonly #trafficSplit = new TrafficSplit();
 	readonly #evacuatedZones = new Set<string>();
 	readonly #hosts = new Map<string, ListedHost>();
+	/** Zones and hosts whose entries a restored store lacks; they may be written again. */
+	readonly #heldZones = new HeldRemovals();
+	readonly #heldHosts = new HeldRemovals();
 	#hostsByRegion: ReadonlyMap<string, number> = new Map();
 	#addressesByRegion: ReadonlyMap<string, readonly string[]> = new Map();
 	readonly #listeners: Array<(table: RouteTable) => void> = [];
@@ -76,8 +80,14 @@
 		replica.onChange((changes, source) => {
 			this.#applyChanges(changes, source);
 		});
+		replica.onNewEra((_era, retainUntilMs) => {
+			instances.extendRetention(retainUntilMs);
+			this.#heldZones.extend(retainUntilMs);
+			this.#heldHosts.extend(retainUntilMs);
+		});
 		lifecycle.every('expiry of instances', expiryCheckMs, () => {
 			instances.expire(clock.nowMs());
+			this.#removeHeldEntries();
 		});
 		metrics.gauge('routes_version', () => this.#table?.version ?? 0);
 		metrics.gauge('instances_known', () => instances.size);
@@ -103,6 +113,11 @@
 	#applyChanges(changes: readonly StoreChange[], source: string): void {
 		for (const change of changes) {
 			const subject = this.#options.itemCodec.parseKey(change.kind === 'written' ? change.item.key : change.key);
+			// Only configurations have versions of their own, by which a value of unknown age can be ordered.
+			if (change.kind === 'written' && change.origin === 'unordered' && subject.kind !== 'routes') {
+				continue;
+			}
+
 			switch (subject.kind) {
 				case 'routes': {
 					this.#applyRoutes(change, source);
@@ -144,6 +159,10 @@
 			return;
 		}
 
+		if (change.origin === 'unordered' && this.#table !== undefined && next.data.version <= this.#table.version) {
+			return;
+		}
+
 		if (this.#table !== undefined && next.data.version < this.#table.version) {
 			logger.warn('ignored a configuration that is older than the one in force', {version: next.data.version, inForce: this.#table.version});
 			return;
@@ -181,14 +200,25 @@
 		}
 
 		const {service, address, zone, isDraining, coldMs} = decoded.data;
-		instances.write(decoded.data, nowMs);
+		if (change.origin === 'restored') {
+			instances.writeRestored(decoded.data, nowMs);
+		} else {
+			instances.write(decoded.data, nowMs);
+		}
+
 		logger.info('instance seen', {
 			instance: id, service, address, zone, isDraining, coldMs, revision: change.item.revision, source,
 		});
 	}
 
 	#applyEvacuation(zone: string, change: StoreChange, source: string): void {
-		const {instances, logger} = this.#options;
+		const {instances, logger, clock} = this.#options;
+		if (change.kind === 'removed' && change.isLost === true && change.retainUntilMs > clock.nowMs()) {
+			this.#heldZones.hold(zone, change.retainUntilMs);
+			return;
+		}
+
+		this.#heldZones.cancel(zone);
 		if (change.kind === 'written') {
 			this.#evacuatedZones.add(zone);
 		} else {
@@ -202,7 +232,13 @@
 	}
 
 	#applyHost(id: string, change: StoreChange): void {
-		const {itemCodec, logger} = this.#options;
+		const {itemCodec, logger, clock} = this.#options;
+		if (change.kind === 'removed' && change.isLost === true && change.retainUntilMs > clock.nowMs()) {
+			this.#heldHosts.hold(id, change.retainUntilMs);
+			return;
+		}
+
+		this.#heldHosts.cancel(id);
 		if (change.kind === 'removed') {
 			this.#hosts.delete(id);
 			this.#indexHosts();
@@ -218,6 +254,25 @@
 		}
 	}
 
+	/** Removes the zones and hosts that the restored store still lacks after the time for them to be written again. */
+	#removeHeldEntries(): void {
+		const {instances, clock, logger} = this.#options;
+		for (const zone of this.#heldZones.takeDue(clock.nowMs())) {
+			this.#evacuatedZones.delete(zone);
+			instances.evacuate(new Set(this.#evacuatedZones));
+			logger.info('zone taken back', {zone, source: 'restored store'});
+		}
+
+		const hosts = this.#heldHosts.takeDue(clock.nowMs());
+		for (const id of hosts) {
+			this.#hosts.delete(id);
+		}
+
+		if (hosts.length > 0) {
+			this.#indexHosts();
+		}
+	}
+
 	#indexHosts(): void {
 		const hosts = [...this.#hosts.values()];
 		const regions = [...new Set(hosts.map(({region}) => region))];
--- /dev/null
+++ b/src/services/store-reader.test.ts
@@ -0,0 +1,106 @@
+import {
+	beforeEach, describe, expect, it,
+} from 'vitest';
+import {type PrefixStore} from '../contracts/prefix-store.js';
+import {type StoreItem} from '../contracts/store-item.js';
+import {ItemReplica} from '../decisions/item-replica.js';
+import {StoreOutage} from '../decisions/store-outage.js';
+import {type Logger} from './logger.js';
+import {Metrics} from './metrics.js';
+import {StoreReader} from './store-reader.js';
+
+type WatchResult = Awaited<ReturnType<PrefixStore['watchPrefix']>>;
+
+const itemAt = (key: string, revision: number): StoreItem => ({key, value: `${key}@${revision}`, revision});
+const at = (revision: number, era: number) => ({era, revision});
+
+describe('StoreReader', () => {
+	let items: ItemReplica;
+	let reader: StoreReader;
+	/** State that a full read returns. */
+	let listed: {readonly items: readonly StoreItem[]; readonly revision: number; readonly era: number};
+	/** Responses to the watches; the last one ends the test's watch. */
+	let responses: Array<() => WatchResult>;
+	let watchedFrom: number[];
+	let eras: number[];
+	let abort: AbortController;
+	const changes = (era: number, revision: number, ...written: StoreItem[]): WatchResult => ({success: true, data: {era, revision, changes: written.map(item => ({kind: 'written', item}))}});
+
+	beforeEach(() => {
+		items = new ItemReplica();
+		items.applyFullRead([itemAt('a', 80)], at(100, 1), 0);
+		[watchedFrom, eras, abort] = [[], [], new AbortController()];
+		const ignore = () => undefined;
+		reader = new StoreReader({
+			store: {
+				list: async () => ({success: true, data: listed}),
+				async watchPrefix(_prefix: string, afterRevision: number) {
+					watchedFrom.push(afterRevision);
+					const respond = responses.shift();
+					if (respond === undefined) {
+						abort.abort();
+						return changes(0, 0);
+					}
+
+					return respond();
+				},
+			} as unknown as PrefixStore,
+			items,
+			outage: new StoreOutage(0),
+			clock: {nowMs: () => 1000},
+			logger: {info: ignore, warn: ignore, limited: ignore} as unknown as Logger,
+			metrics: new Metrics(),
+			onEra(era) {
+				eras.push(era);
+			},
+			onChanges: ignore,
+			onFullRead: ignore,
+		});
+	});
+
+	it('applies no changes that follow its revision in another era, and reads all items', async () => {
+		listed = {...at(130, 2), items: [itemAt('b', 40), itemAt('c', 120)]};
+		responses = [() => changes(2, 130, itemAt('c', 120))];
+		await reader.watch(false, abort.signal);
+		expect(items.withPrefix('').map(({key}) => key)).toEqual(['b', 'c']);
+		expect([items.version, watchedFrom, eras[0]]).toEqual([at(130, 2), [100, 130], 2]);
+	});
+
+	it('reads all items if the store does not know its revision', async () => {
+		listed = {...at(50, 2), items: [itemAt('b', 40)]};
+		responses = [() => ({success: false, error: {code: 'compacted', message: '', era: 2}})];
+		await reader.watch(false, abort.signal);
+		expect([items.version, watchedFrom]).toEqual([at(50, 2), [100, 50]]);
+	});
+
+	it('drops a late response of an older era, and goes on from what a peer delivered in the meantime', async () => {
+		const peer = new ItemReplica();
+		peer.applyFullRead([itemAt('b', 40)], at(50, 2), 0);
+		responses = [() => {
+			items.applyDelta(peer.deltaSince(items.version), 0);
+			return changes(1, 101, itemAt('a', 101));
+		}];
+		await reader.watch(false, abort.signal);
+		expect(items.withPrefix('')).toEqual([itemAt('b', 40)]);
+		expect(watchedFrom).toEqual([100, 50]);
+	});
+
+	it('goes on from what a peer delivered if the store states that era too', async () => {
+		const peer = new ItemReplica();
+		peer.applyFullRead([itemAt('b', 40)], at(50, 2), 0);
+		responses = [() => {
+			items.applyDelta(peer.deltaSince(items.version), 0);
+			return changes(2, 130, itemAt('c', 120));
+		}, () => changes(2, 130, itemAt('c', 120))];
+		await reader.watch(false, abort.signal);
+		expect(items.withPrefix('')).toEqual([itemAt('b', 40), itemAt('c', 120)]);
+		expect(watchedFrom).toEqual([100, 50, 130]);
+	});
+
+	it('drops a full read of an older era', async () => {
+		items.applyFullRead([itemAt('b', 40)], at(50, 2), 0);
+		listed = {...at(100, 1), items: [itemAt('a', 80)]};
+		expect(await reader.readAll()).toBeUndefined();
+		expect(items.withPrefix('')).toEqual([itemAt('b', 40)]);
+	});
+});
--- a/stand-ins/simulated-network.ts
+++ b/stand-ins/simulated-network.ts
@@ -22,6 +22,8 @@
 	readonly loss?: number;
 	/** Called with the effects of a node's membership that are neither messages nor exchanges of views. */
 	readonly onEffect?: (index: number, effect: MembershipEffect) => void;
+	/** Returns a datagram as it is after the wire between two nodes; unchanged by default. */
+	readonly convey?: (message: GossipMessage, from: number, to: number) => GossipMessage;
 };
 
 type MembershipEffect = ReturnType<Membership['tick']>[number];
@@ -43,11 +45,13 @@
 	#startedProcesses = 0;
 	#loss: number;
 	readonly #onEffect: NetworkOptions['onEffect'];
+	readonly #convey: NonNullable<NetworkOptions['convey']>;
 
 	constructor({
-		regions, seed, loss = 0, onEffect,
+		regions, seed, loss = 0, onEffect, convey = message => message,
 	}: NetworkOptions) {
 		this.#onEffect = onEffect;
+		this.#convey = convey;
 		this.#random = new SeededRandom(seed);
 		this.#loss = loss;
 		for (const [region, count] of Object.entries(regions)) {
@@ -179,7 +183,8 @@
 		this.#schedule(1 + this.#random.below(5), () => {
 			const to = this.nodes.find(node => node.address === address);
 			if (to !== undefined && !to.isDown && !to.isFrozen) {
-				this.#applyEffects(to, to.membership.receive(message, this.nowMs));
+				const conveyed = this.#convey(message, this.nodes.indexOf(from), this.nodes.indexOf(to));
+				this.#applyEffects(to, to.membership.receive(conveyed, this.nowMs));
 			}
 		});
 	}
--- a/test/replication-model.ts
+++ b/test/replication-model.ts
@@ -1,29 +1,33 @@
 import {expect} from 'vitest';
 import {type StoreChange} from '../src/contracts/store-change.js';
 import {type StoreItem} from '../src/contracts/store-item.js';
+import {type StoreVersion} from '../src/contracts/store-version.js';
+import {compareVersions} from '../src/decisions/compare-versions.js';
 import {ItemReplica} from '../src/decisions/item-replica.js';
 
 type Operation =
 	| {readonly kind: string; readonly key: string}
+	| {readonly kind: string; readonly lost: number}
 	| {readonly kind: string; readonly host: number; readonly from?: number};
 
 type Host = {
 	readonly replica: ItemReplica;
-	/** Revision from which the next watch continues. */
-	watchedRevision: number | undefined;
+	/** Version from which the next watch continues. */
+	watched: StoreVersion | undefined;
 	/** Full read whose first page has been received. */
-	read: {readonly revision: number; readonly items: readonly StoreItem[]} | undefined;
+	read: {readonly version: StoreVersion; readonly items: readonly StoreItem[]} | undefined;
 	/** Response to a pull that has not been received yet. */
 	pulled: ReturnType<ItemReplica['deltaSince']> | undefined;
 };
 
 const firstPageKeys = new Set(['a', 'b']);
 
-/** Test model of a store and of four hosts with replicas; the first two of them watch the store and read it in two pages. */
+/** Test model of a store that may be restored and of four hosts with replicas; the first two of them watch the store and read it in two pages. */
 export class ReplicationModel {
-	readonly #history: StoreChange[] = [];
+	/** Changes of each era; a restore begins the next one with the first changes of the era before. */
+	readonly #histories: StoreChange[][] = [[]];
 	readonly #hosts: readonly Host[] = Array.from({length: 4}, () => ({
-		replica: new ItemReplica(), watchedRevision: undefined, read: undefined, pulled: undefined,
+		replica: new ItemReplica(), watched: undefined, read: undefined, pulled: undefined,
 	}));
 
 	/** Runs one operation; those that are not possible in the present state do nothing. */
@@ -33,10 +37,15 @@
 			return;
 		}
 
+		if ('lost' in operation) {
+			this.#histories.push(this.#history.slice(0, Math.max(0, this.#history.length - operation.lost)));
+			return;
+		}
+
 		const host = this.#hosts[operation.host]!;
 		switch (operation.kind) {
 			case 'beginRead': {
-				host.read = {revision: this.#revision, items: this.#present().filter(item => firstPageKeys.has(item.key))};
+				host.read = {version: this.#version, items: this.#present().filter(item => firstPageKeys.has(item.key))};
 				break;
 			}
 
@@ -52,7 +61,7 @@
 
 			case 'pull': {
 				const source = this.#hosts[operation.from ?? 0]!.replica;
-				host.pulled ??= source.revision > host.replica.revision ? source.deltaSince(host.replica.revision) : undefined;
+				host.pulled ??= compareVersions(source.version, host.replica.version) > 0 ? source.deltaSince(host.replica.version) : undefined;
 				break;
 			}
 
@@ -66,7 +75,7 @@
 	settle(): void {
 		const [watcher] = this.#hosts;
 		this.#change('write', 'a');
-		if (watcher!.watchedRevision === undefined) {
+		if (watcher!.watched?.era !== this.#version.era) {
 			this.run({kind: 'beginRead', host: 0});
 			this.run({kind: 'endRead', host: 0});
 		}
@@ -82,9 +91,10 @@
 	/** Fails if a replica lacks a change up to its revision. */
 	expectCompleteReplicas(): void {
 		for (const {replica} of this.#hosts) {
-			const known = this.#present(replica.revision);
+			const history = this.#histories[replica.version.era]!;
+			const known = present(history, replica.revision);
 			for (const item of known) {
-				const isRemovedLater = this.#history.some(change => change.kind === 'removed' && change.key === item.key && change.revision > replica.revision);
+				const isRemovedLater = history.some(change => change.kind === 'removed' && change.key === item.key && change.revision > replica.revision);
 				expect(isRemovedLater || (replica.get(item.key)?.revision ?? 0) >= item.revision, `${item.key} at revision ${replica.revision}`).toBe(true);
 			}
 
@@ -101,28 +111,23 @@
 		}
 	}
 
-	get #revision(): number {
-		return this.#history.length;
+	get #history(): StoreChange[] {
+		return this.#histories.at(-1)!;
 	}
 
-	/** Returns the items present in the store at a revision. */
-	#present(revision = this.#revision): StoreItem[] {
-		const items = new Map<string, StoreItem>();
-		for (const change of this.#history.slice(0, revision)) {
-			if (change.kind === 'written') {
-				items.set(change.item.key, change.item);
-			} else {
-				items.delete(change.key);
-			}
-		}
+	get #version(): StoreVersion {
+		return {era: this.#histories.length - 1, revision: this.#history.length};
+	}
 
-		return [...items.values()];
+	/** Returns the items present in the store. */
+	#present(): StoreItem[] {
+		return present(this.#history, this.#history.length);
 	}
 
 	#change(kind: string, key: string): void {
-		const revision = this.#revision + 1;
+		const revision = this.#history.length + 1;
 		if (kind === 'write') {
-			this.#history.push({kind: 'written', item: {key, value: `${key}@${revision}`, revision}});
+			this.#history.push({kind: 'written', item: {key, value: `${key}@${revision} of era ${this.#version.era}`, revision}});
 		} else if (this.#present().some(item => item.key === key)) {
 			this.#history.push({
 				kind: 'removed', key, revision, retainUntilMs: 0,
@@ -135,17 +140,24 @@
 			return;
 		}
 
-		const {revision, items} = host.read;
+		// The client reads again if the store was restored between two pages.
+		const {version, items} = host.read;
+		if (version.era !== this.#version.era) {
+			host.read = undefined;
+			return;
+		}
+
 		const secondPage = this.#present().filter(item => !firstPageKeys.has(item.key));
-		host.replica.applyFullRead([...items, ...secondPage], revision, 0);
-		host.watchedRevision = revision;
+		host.replica.applyFullRead([...items, ...secondPage], version, 0);
+		host.watched = version;
 		host.read = undefined;
 	}
 
 	#watch(host: Host): void {
-		if (host.watchedRevision !== undefined) {
-			host.replica.applyChanges(this.#history.slice(host.watchedRevision), this.#revision);
-			host.watchedRevision = this.#revision;
+		// Changes of another era than that of the revision from which the watch started are not applied; a full read follows.
+		if (host.watched?.era === this.#version.era) {
+			host.replica.applyChanges(this.#history.slice(host.watched.revision), this.#version);
+			host.watched = this.#version;
 		}
 	}
 
@@ -156,3 +168,17 @@
 		}
 	}
 }
+
+/** Returns the items present after the changes up to a revision. */
+function present(history: readonly StoreChange[], revision: number): StoreItem[] {
+	const items = new Map<string, StoreItem>();
+	for (const change of history.slice(0, revision)) {
+		if (change.kind === 'written') {
+			items.set(change.item.key, change.item);
+		} else {
+			items.delete(change.key);
+		}
+	}
+
+	return [...items.values()];
+}
--- a/test/store-watch-model.ts
+++ b/test/store-watch-model.ts
@@ -1,3 +1,4 @@
+import {type StoreVersion} from '../src/contracts/store-version.js';
 import {RevisionTracker} from '../src/decisions/revision-tracker.js';
 import {SeededRandom} from '../src/decisions/seeded-random.js';
 import {SimulatedNetwork} from '../stand-ins/simulated-network.js';
@@ -9,6 +10,8 @@
 	isWatching: boolean;
 	/** Whether the host's link to the store loses everything in silence. */
 	isCut: boolean;
+	/** Whether the host is of the release before, which knows no eras: to it, the revision alone is the version. */
+	isLegacy: boolean;
 	/** Number of probes of the store that the host made. */
 	probes: number;
 	/** Time at which the host first watched the store without being designated. */
@@ -26,7 +29,8 @@
 export class StoreWatchModel {
 	readonly hosts: readonly Host[];
 	readonly network: SimulatedNetwork;
-	/** Revision of the store. */
+	/** Era and revision of the store. */
+	era = 0;
 	revision = 1;
 	#tasks: Task[] = [];
 
@@ -35,12 +39,21 @@
 			regions: {dsm: hosts}, seed, loss, onEffect: (index, effect) => {
 				this.#runMembershipEffect(index, effect);
 			},
+			convey: (message, from, to) => {
+				const {era, ...rest} = message;
+				const {contactEra, ...legacy} = rest as typeof rest & {readonly contactEra?: number};
+				return this.hosts[from]!.isLegacy || this.hosts[to]!.isLegacy ? legacy : message;
+			},
 		});
 		this.hosts = this.network.nodes.map((_, index) => ({
-			tracker: new RevisionTracker(new SeededRandom(seed + index), 0), isWatching: false, isCut: false, probes: 0, substituteSinceMs: undefined,
+			tracker: new RevisionTracker(new SeededRandom(seed + index), 0), isWatching: false, isCut: false, isLegacy: false, probes: 0, substituteSinceMs: undefined,
 		}));
 	}
 
+	get version(): StoreVersion {
+		return {era: this.era, revision: this.revision};
+	}
+
 	/** Indexes of the hosts that watch the store. */
 	get watchers(): number[] {
 		return [...this.hosts.keys()].filter(index => this.hosts[index]!.isWatching);
@@ -67,6 +80,12 @@
 		}
 	}
 
+	/** Restores an earlier copy of the store: a new era begins at a lower revision. */
+	restore(revision: number): void {
+		this.era++;
+		this.revision = revision;
+	}
+
 	/** Returns the hosts that are alive and not cut off from the store. */
 	connected(): number[] {
 		return [...this.hosts.keys()].filter(index => !this.hosts[index]!.isCut && !this.network.nodes[index]!.isDown);
@@ -76,14 +95,15 @@
 	#deliver(index: number): void {
 		const host = this.hosts[index]!;
 		if (host.isWatching && !host.isCut) {
-			this.#adopt(index, this.revision);
+			this.#adopt(index, this.version);
 		}
 	}
 
-	#adopt(index: number, revision: number): void {
-		const {tracker} = this.hosts[index]!;
-		if (tracker.adopt(revision)) {
-			this.network.act(index, membership => membership.setRevision(revision, tracker.isWatching));
+	#adopt(index: number, {era, revision}: StoreVersion): void {
+		const {tracker, isLegacy} = this.hosts[index]!;
+		const version = {era: isLegacy ? 0 : era, revision};
+		if (tracker.adopt(version)) {
+			this.network.act(index, membership => membership.setVersion(version, tracker.isWatching));
 		}
 	}
 
@@ -106,7 +126,7 @@
 			case 'read_store': {
 				this.#later(callMs, () => {
 					if (!host.isCut) {
-						this.#adopt(index, this.revision);
+						this.#adopt(index, this.version);
 					}
 				});
 				break;
@@ -116,7 +136,7 @@
 				host.probes++;
 				this.#later(callMs, () => {
 					if (!host.isCut && !network.nodes[index]!.isDown) {
-						this.#runEffects(index, host.tracker.recordProbeAnswer(network.nowMs));
+						this.#runEffects(index, host.tracker.recordProbeAnswer(host.isLegacy ? 0 : this.era, network.nowMs));
 					}
 				});
 				break;
@@ -131,6 +151,11 @@
 				this.#pull(index, effect.address);
 				break;
 			}
+
+			case 'pull_unordered': {
+				// Only configurations are taken from the response, which the model does not have.
+				break;
+			}
 		}
 	}
 
@@ -145,7 +170,7 @@
 		}
 
 		this.#later(callMs, () => {
-			this.#adopt(index, this.hosts[source]!.tracker.revision);
+			this.#adopt(index, this.hosts[source]!.tracker.version);
 		});
 	}
 
@@ -153,9 +178,9 @@
 		const {tracker} = this.hosts[index]!;
 		const {nowMs} = this.network;
 		if (effect.kind === 'revision') {
-			this.#runEffects(index, tracker.recordRevision(effect.revision, effect.address, nowMs));
+			this.#runEffects(index, tracker.recordVersion(effect.version, effect.address, nowMs));
 		} else if (effect.kind === 'store_contact') {
-			this.#runEffects(index, tracker.recordReportedContact(effect.revision, effect.rank, nowMs));
+			this.#runEffects(index, tracker.recordReportedContact(effect.version, effect.rank, nowMs));
 		}
 	}
 
--- a/tools/placement-model/model-host.ts
+++ b/tools/placement-model/model-host.ts
@@ -64,6 +64,7 @@
 				onChange: listener => {
 					this.#listener = listener;
 				},
+				onNewEra: () => undefined,
 			},
 		});
 		const lifecycle = {
