A host writes its entry again after a restore of the store, under a lease of its own

After a restore the entries of hosts were missing for up to 20 s, until the next renewal got 404; a lease id that the store had given to another host since was renewed as if it were the own one, and ended at a planned stop, which removed the other host's entry.

Cause: the lease was held by its id alone, which a restored store gives out again.

Change: a lease is of use only in the era in which it was opened (EntryLease). On the first contact to a new era each host opens a new lease and writes its entry again, spread over 1 s; the eras in responses to lease calls are heard of too. A stop ends the lease only in its own era.

--- a/src/services/replica-service.test.ts
+++ b/src/services/replica-service.test.ts
@@ -27,10 +27,12 @@
 	let replica: ReplicaService;
 	let reportRevision: (version: StoreVersion, address: string) => void;
 	let requests: unknown[];
+	let metrics: Metrics;
 	let nowMs: number;
 
 	beforeEach(() => {
 		nowMs = 500;
+		metrics = new Metrics();
 		requests = [];
 		replica = new ReplicaService({
 			revisionTracker: new RevisionTracker(new SeededRandom(1), 0),
@@ -38,7 +40,7 @@
 			clock: {nowMs: () => nowMs},
 			store: unreachableStore as PrefixStore,
 			logger: {info: () => undefined, warn: () => undefined, debug: () => undefined} as unknown as Logger,
-			metrics: new Metrics(),
+			metrics,
 			peerClient: {
 				steering: () => ({
 					items: {
@@ -119,6 +121,7 @@
 			await expect.poll(() => replica.items.version).toEqual(at(50, 2));
 			expect(requests).toEqual([{haveRevision: 100, haveEra: 1, acceptsGaps: true}]);
 			expect([keys(), eras]).toEqual([['b'], [[2, 2700]]]);
+			expect(metrics.render()).toContain('store_era_changes 1');
 			expect(changes).toContainEqual({
 				kind: 'removed', key: 'a', revision: 50, retainUntilMs: 2700, isLost: true,
 			});
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -170,11 +170,9 @@
 	};
 	kernel
 		.add({
-			name: 'roster', requires: ['prefixStore', 'steering', 'logger'], start({get, lifecycle}) {
+			name: 'roster', requires: ['prefixStore', 'steering', 'logger', 'replica'], start({get, lifecycle}) {
 				const hostList = new HostListService({
-					store: get('prefixStore'),
-					steering: get('steering'),
-					logger: get('logger'),
+					store: get('prefixStore'), steering: get('steering'), logger: get('logger'), replica: get('replica'), random: new SeededRandom(seed + 4),
 					key: platform.itemCodec.hostKey(self.id),
 					value: platform.itemCodec.encodeHost(entry),
 				});
--- a/test/restored-store.test.ts
+++ b/test/restored-store.test.ts
@@ -144,4 +144,13 @@
 		store.writeAgain();
 		await untilInForce(4);
 	});
+
+	it('gets the entries of the hosts again, under leases of its own', async () => {
+		await startDaemons(2);
+		const entries = () => daemons.map(({host}) => store.read(`cowslipspar/hosts/edge-${host.replaceAll('.', '-')}`));
+		await until(() => entries().every(entry => entry !== undefined));
+		store.restore(copy);
+		expect(entries()).toEqual([undefined, undefined]);
+		await until(() => entries().every(entry => entry !== undefined));
+	});
 });
