Soak of the platform's daemon restores the store from a copy now and then

No soak played a store that comes back from an older copy. A new seeded fault copies the store, restores the copy up to 4 s later after a moment in which the store is unavailable, and lets operators and instances write again within 1.5 s. Checks stay as they are: no configuration reverts, no host is behind at the end; requests to draining instances are not counted while the store is disturbed, as with its other faults.

--- a/tools/platform-faults.ts
+++ b/tools/platform-faults.ts
@@ -5,7 +5,7 @@
 import {type PlatformFleet} from './platform-fleet.js';
 import {runFaults} from './run-faults.js';
 
-type FaultName = 'kill' | 'kill-all' | 'freeze' | 'stop' | 'store-fault' | 'lost-answers' | 'compaction' | 'configuration' | 'crash' | 'drain' | 'leaving' | 'evacuation' | 'misbehaviour';
+type FaultName = typeof names[number];
 
 type FaultsOptions = {
 	readonly fleet: PlatformFleet;
@@ -17,7 +17,7 @@
 
 type Instance = PlatformFleet['instances'][number];
 
-const names: readonly FaultName[] = ['kill', 'kill-all', 'freeze', 'stop', 'store-fault', 'lost-answers', 'compaction', 'configuration', 'crash', 'drain', 'leaving', 'evacuation', 'misbehaviour'];
+const names = ['kill', 'kill-all', 'freeze', 'stop', 'store-fault', 'lost-answers', 'compaction', 'restore', 'configuration', 'crash', 'drain', 'leaving', 'evacuation', 'misbehaviour'] as const;
 const storeModes = ['silent', 'busy', 'many', 'reset'] as const;
 const misbehaviours = ['shed', 'pause', 'misdirect', 'crash', 'silent', 'fail', 'unsigned', 'wrong-id', 'no-length', 'cut-no-length', 'cut-chunks'] as const;
 /** Number of hosts, and of instances, that may be out of service at the same time. */
@@ -26,6 +26,10 @@
 const gapRangeMs = 1500;
 const shortestFaultMs = 500;
 const faultRangeMs = 3500;
+/** Longest time for which the store is unavailable before it comes back from a copy. */
+const restoreRangeMs = 1000;
+/** Longest time until operators and instances have written again what the restored store lacks; hosts wait 2.2 s for it. */
+const rewriteRangeMs = 1500;
 /** Time after which the store entry of a lost instance expires. */
 const leaseExpiryMs = 1000;
 /** Time within which every host must have received the update that an instance drains. */
@@ -103,6 +107,10 @@
 				return;
 			}
 
+			case 'restore': {
+				return this.#restoreStore(faultMs);
+			}
+
 			case 'configuration': {
 				this.#version++;
 				this.#options.publish(this.#version);
@@ -148,6 +156,22 @@
 		this.#storeFaultEndedMs = performance.now();
 	}
 
+	/** Restores the store from a copy of some age, after a moment in which it is unavailable; what the copy lacks is written again later. */
+	async #restoreStore(copyAgeMs: number): Promise<void> {
+		const {random, fleet: {store}} = this.#options;
+		const [unavailableMs, rewriteMs] = [random.below(restoreRangeMs), random.below(rewriteRangeMs)];
+		const copy = store.copy();
+		await delay(copyAgeMs);
+		store.setFaults({mode: 'reset'});
+		this.#storeFaultEndedMs = Number.POSITIVE_INFINITY;
+		await delay(unavailableMs);
+		store.restore(copy);
+		store.setFaults({});
+		await delay(rewriteMs);
+		store.writeAgain();
+		this.#storeFaultEndedMs = performance.now();
+	}
+
 	/** Injects a fault into a random host or instance that has none, unless `maxOutOfService` of them are out of service. */
 	async #injectIntoOne<T extends {readonly id: string}>(all: readonly T[], injectFault: (item: T) => Promise<void>): Promise<void> {
 		const available = all.filter(({id}) => !this.#outOfService.has(id));
--- a/tools/platform-fleet.ts
+++ b/tools/platform-fleet.ts
@@ -34,11 +34,12 @@
 const regionByZone = Object.fromEntries(zones.map(zone => [zone, regionOf(zone)]));
 const serviceMs = 20;
 const instancePort = 8080;
+const storeCallsPerSecond = 2000;
 const store = {host: '127.60.0.1', port: 8384};
 
 /** Deployment of the platform on loopback addresses. The store and the instances run in this process, each daemon in a separate one. */
 export class PlatformFleet {
-	readonly store = new KvStoreStandIn();
+	readonly store = new KvStoreStandIn(storeCallsPerSecond, 1);
 	readonly hosts: readonly Host[] = zones.map((zone, index) => ({
 		id: `edge-${zone}-1`, region: regionOf(zone), zone, ip: `127.60.${index + 1}.1`,
 	}));
