Soak checks that a configuration written after a restore comes into force

The soak's restores did not show the fault on the code before them: the few writes of a soak let the revision pass the old one at once, and restarts heal hosts. Instances now write their entries twenty times between the copy and its restore, and each restore is followed by a new configuration, which every host in service must have 4 s after the latest fault of the store.

--- a/tools/platform-faults.ts
+++ b/tools/platform-faults.ts
@@ -30,6 +30,11 @@
 const restoreRangeMs = 1000;
 /** Longest time until operators and instances have written again what the restored store lacks; hosts wait 2.2 s for it. */
 const rewriteRangeMs = 1500;
+/** Rounds in which instances write their entries between the copy and its restore, so that the revision falls by more than is written again. */
+const roundsBeforeRestore = 20;
+/** Time after the latest fault of the store within which every host must have a configuration written after a restore: the longest that operators are promised. */
+const restoredConfigurationMs = 4000;
+const configurationPollMs = 500;
 /** Time after which the store entry of a lost instance expires. */
 const leaseExpiryMs = 1000;
 /** Time within which every host must have received the update that an instance drains. */
@@ -46,6 +51,8 @@
 	requestsAfterDrain = 0;
 	/** Number of requests that instances ran after they had stated to every host that they leave. */
 	requestsAfterLeaving = 0;
+	/** Number of hosts that lacked a configuration written after a restore, after the time within which every host must have it. */
+	hostsBehindAfterRestore = 0;
 	readonly #options: FaultsOptions;
 	readonly #outOfService = new Set<string>();
 	#version = 1;
@@ -156,11 +163,18 @@
 		this.#storeFaultEndedMs = performance.now();
 	}
 
-	/** Restores the store from a copy of some age, after a moment in which it is unavailable; what the copy lacks is written again later. */
+	/**
+	 * Restores the store from a copy of some age, after a moment in which it is unavailable. What the copy lacks is written again later, and
+	 * then a new configuration, at a revision below the highest one before.
+	 */
 	async #restoreStore(copyAgeMs: number): Promise<void> {
 		const {random, fleet: {store}} = this.#options;
 		const [unavailableMs, rewriteMs] = [random.below(restoreRangeMs), random.below(rewriteRangeMs)];
 		const copy = store.copy();
+		for (let round = 0; round < roundsBeforeRestore; round++) {
+			store.writeAgain();
+		}
+
 		await delay(copyAgeMs);
 		store.setFaults({mode: 'reset'});
 		this.#storeFaultEndedMs = Number.POSITIVE_INFINITY;
@@ -169,7 +183,24 @@
 		store.setFaults({});
 		await delay(rewriteMs);
 		store.writeAgain();
+		this.#version++;
+		this.#options.publish(this.#version);
 		this.#storeFaultEndedMs = performance.now();
+		await this.#awaitConfiguration(this.#version);
+	}
+
+	/** Waits until every host in service has a configuration, and counts those that do not get it although the store has no fault any more. */
+	async #awaitConfiguration(version: number): Promise<void> {
+		const {fleet} = this.#options;
+		let behind = fleet.hosts.length;
+		while (behind > 0 && performance.now() < this.#storeFaultEndedMs + restoredConfigurationMs) {
+			await delay(configurationPollMs);
+			const available = fleet.hosts.filter(({id}) => !this.#outOfService.has(id));
+			const statuses = await Promise.all(available.map(async ({id}) => fleet.status(id)));
+			behind = statuses.filter(status => status !== undefined && status.revision < version).length;
+		}
+
+		this.hostsBehindAfterRestore += behind;
 	}
 
 	/** Injects a fault into a random host or instance that has none, unless `maxOutOfService` of them are out of service. */
--- a/tools/soak-platform.ts
+++ b/tools/soak-platform.ts
@@ -63,6 +63,7 @@
 			newWorkAfterDrain: faults.requestsAfterDrain,
 			newWorkAfterLeaving: faults.requestsAfterLeaving,
 			configReverts: watch.reverts,
+			hostsBehindAfterRestore: faults.hostsBehindAfterRestore,
 			hostsBehind: statuses.filter(status => status?.revision !== faults.version).length,
 			unexpectedExits: faults.unexpectedExits,
 		};
