--- a/src/config/steering-settings.ts
+++ b/src/config/steering-settings.ts
@@ -14,6 +14,12 @@
 	/** Limit of the requests to a cold instance in any second: the rate that the instance tolerates times this factor, plus `coldTolerance`. */
 	coldMultiplier: z.number().min(0).default(1.5),
 	coldTolerance: z.number().min(0).default(0),
+	/** Length of the sliding window in which the requests of an account are counted, over all hosts. */
+	quotaWindowMs: Milliseconds.default(5000),
+	/** Share of an account's quota in one window by which the count may exceed it. */
+	quotaOverage: z.number().min(0).default(0.1),
+	/** Number of requests by which the count may exceed the quota in addition. */
+	quotaTolerance: z.number().min(0).default(20),
 	/** Time from the stop signal until the platform kills the process, in milliseconds. */
 	graceMs: Milliseconds.default(6000),
 });
