Quotas: slots in the store, the peer call, and the token before the first send

An account with a limit was served without one. A request that certainly did not run gives its token back.

--- a/src/contracts/prefix-store.ts
+++ b/src/contracts/prefix-store.ts
@@ -7,6 +7,8 @@
 type HistoryError = StoreError | {readonly code: 'compacted'; readonly message: string};
 /** `no_lease`: the lease has ended, and its keys are removed. */
 type LeaseError = StoreError | {readonly code: 'no_lease'; readonly message: string};
+/** `conflict`: the key has another revision than expected. */
+type ConflictError = {readonly code: 'conflict'; readonly message: string};
 
 /** Change of a key, as reported by the store. */
 type StoreEvent = {readonly kind: 'written'; readonly item: StoreItem} | {readonly kind: 'removed'; readonly key: string; readonly revision: number};
@@ -20,12 +22,16 @@
 	Promise<Result<{readonly changes: readonly StoreEvent[]; readonly revision: number}, HistoryError>>;
 	/** Makes the cheapest possible call, to find out whether the store answers. */
 	readonly ping: () => Promise<Result<undefined, StoreError>>;
-	/** Opens a lease; returns its id. */
-	readonly openLease: (ttlMs: number) => Promise<Result<{readonly leaseId: number}, StoreError>>;
+	/** Opens a lease; returns its id, and the time to live that the store grants. */
+	readonly openLease: (ttlMs: number) => Promise<Result<{readonly leaseId: number; readonly ttlMs: number}, StoreError>>;
 	/** Renews a lease; its time to live starts again when the store receives the call. */
 	readonly renewLease: (leaseId: number) => Promise<Result<undefined, LeaseError>>;
 	/** Ends a lease and removes its keys. */
 	readonly endLease: (leaseId: number) => Promise<Result<undefined, LeaseError>>;
 	/** Writes a key and binds it to a lease, whatever its earlier value. */
 	readonly putLeased: (key: string, value: string, leaseId: number) => Promise<Result<undefined, LeaseError>>;
+	/** Writes a key and binds it to a lease if its revision is the expected one; 0 if it does not exist. */
+	readonly putLeasedIf: (write: {readonly key: string; readonly value: string; readonly leaseId: number; readonly expectedRevision: number}) => Promise<Result<undefined, LeaseError | ConflictError>>;
+	/** Removes a key if its revision is the expected one. */
+	readonly removeIf: (key: string, expectedRevision: number) => Promise<Result<undefined, StoreError | ConflictError>>;
 };
--- a/src/services/ingress-service.ts
+++ b/src/services/ingress-service.ts
@@ -304,7 +304,7 @@
 	#sendErrorStatus(served: ServedRequest, outcome: Exclude<ProxyOutcome, AnswerOutcome>): void {
 		switch (outcome.kind) {
 			case 'not_run': {
-				this.#sendResponse(served, {status: 503, headers: ['Retry-After', (outcome.retryAfterMs / 1000).toFixed(2)]});
+				this.#sendResponse(served, {status: outcome.reason === 'over_quota' ? 429 : 503, headers: ['Retry-After', (outcome.retryAfterMs / 1000).toFixed(2)]});
 				break;
 			}
 
--- a/src/services/proxy-outcome.ts
+++ b/src/services/proxy-outcome.ts
@@ -18,7 +18,7 @@
 	/** The request did not run and will not run later. */
 	| {
 		readonly kind: 'not_run';
-		readonly reason: 'not_ready' | 'no_upstream' | 'busy' | 'paused' | 'shed' | 'retry_budget' | 'timeout' | 'quarantined' | 'stopping' | 'no_common_region';
+		readonly reason: 'not_ready' | 'no_upstream' | 'busy' | 'paused' | 'shed' | 'retry_budget' | 'timeout' | 'quarantined' | 'stopping' | 'no_common_region' | 'over_quota';
 		readonly retryAfterMs: number;
 		readonly figures?: RefusalFigures | undefined;
 	}
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -19,6 +19,8 @@
 import {type ProxyOutcome} from './proxy-outcome.js';
 import {type ProxyRequest} from './proxy-request.js';
 import {type QuarantineService} from './quarantine-service.js';
+import {type QuotaService} from './quotas/quota-service.js';
+import {RequestQuota} from './quotas/request-quota.js';
 import {RequestLog} from './request-log.js';
 import {type AttemptObserver} from './attempt-observer.js';
 import {type SteeringService} from './steering-service.js';
@@ -39,6 +41,7 @@
 	readonly turns: Pick<LoopTurns, 'next'>;
 	readonly observer: AttemptObserver;
 	readonly notices: Pick<NoticeRecorder, 'recordHead'>;
+	readonly quotas: Pick<QuotaService, 'take'>;
 	readonly random: SeededRandom;
 	/** Returns the number of hosts that may be sending to the same services. */
 	readonly countHosts: () => number;
@@ -58,6 +61,7 @@
 	readonly deadlineMs: number;
 	readonly attempts: RequestAttempts;
 	readonly triedInstanceIds: Set<string>;
+	readonly quota: RequestQuota;
 };
 
 type Admission = ReturnType<AccountCheck['admit']>;
@@ -195,7 +199,7 @@
 			});
 		}
 
-		return this.#sendUntilAnswered({
+		const context: RequestContext = {
 			req,
 			admission: latest,
 			service,
@@ -205,7 +209,14 @@
 			deadlineMs: req.arrivedMs + Math.min(req.remainingMs ?? Number.POSITIVE_INFINITY, route.timeoutMs),
 			attempts: new RequestAttempts({isRepeatable: route.isRepeatable && body.kind !== 'stream', maxAttempts: route.maxAttempts}),
 			triedInstanceIds: new Set(),
-		});
+			quota: new RequestQuota(this.#options.quotas, latest.account),
+		};
+		const outcome = await this.#sendUntilAnswered(context);
+		if (outcome.kind !== 'answer' && !context.attempts.mayHaveRun) {
+			context.quota.giveBack();
+		}
+
+		return outcome;
 	}
 
 	/** Sends the request until an instance responds or no further attempt is allowed. */
@@ -248,6 +259,17 @@
 				return this.#outcomeWithoutResponse(attempts, lastResult, 'retry_budget');
 			}
 
+			const quota = await context.quota.take(deadlineMs);
+			if (quota.kind === 'over_quota') {
+				return {
+					kind: 'not_run', reason: quota.kind, retryAfterMs: this.#jittered(quota.retryAfterMs), figures: quota.figures,
+				};
+			}
+
+			if (quota.kind === 'waited') {
+				continue;
+			}
+
 			triedInstanceIds.add(choice.entry.instance.id);
 			if (choice.isCold) {
 				metrics.count('cold_sends', {service});
@@ -338,9 +360,13 @@
 
 		const baseMs = Math.min(maxBaseRetryAfterMs, baseRetryAfterMs[reason] + (busy?.excessWaitMs ?? 0));
 		return {
-			kind: 'not_run', reason, figures: busy, retryAfterMs: baseMs * (1 + (retryJitterShare * this.#options.random.next())),
+			kind: 'not_run', reason, figures: busy, retryAfterMs: this.#jittered(baseMs),
 		};
 	}
+
+	#jittered(retryAfterMs: number): number {
+		return retryAfterMs * (1 + (retryJitterShare * this.#options.random.next()));
+	}
 }
 
 function refused(outcome: Extract<Admission, {kind: 'refused'}>['outcome']): Admission {
--- a/src/services/steering-router.ts
+++ b/src/services/steering-router.ts
@@ -1,11 +1,13 @@
 import {initTRPC} from '@trpc/server';
 import {z} from 'zod';
 import {PlacementReport} from '../contracts/placement-report.js';
+import {QuotaAsk} from '../contracts/quota-ask.js';
 import {RegionLoad} from '../contracts/region-load.js';
 import {memberProcedures} from './member-procedures.js';
 import {type MembersService} from './members-service.js';
 import {type PlannerService} from './planner-service.js';
 import {type QuarantineService} from './quarantine-service.js';
+import {type QuotaService} from './quotas/quota-service.js';
 import {type ReplicaService} from './replica-service.js';
 import {type StatusService} from './status-service.js';
 
@@ -15,6 +17,7 @@
 	readonly replica: ReplicaService;
 	readonly planner: PlannerService;
 	readonly status: StatusService;
+	readonly quotas: QuotaService;
 };
 
 function createRouter(options: SteeringRouterOptions) {
@@ -29,6 +32,8 @@
 		report: trpc.procedure.input(PlacementReport).mutation(({input}) => options.planner.receiveReport(input)),
 		/** Receives another region's load and offers for this region's planner. */
 		regionLoad: trpc.procedure.input(z.object({load: RegionLoad, isRelayed: z.boolean()})).mutation(async ({input}) => options.planner.receiveRegionLoad(input.load, input.isRelayed)),
+		/** Lends quota tokens, or the right to mint some, to the caller. */
+		lend: trpc.procedure.input(z.object({asks: z.array(QuotaAsk)})).mutation(({input}) => options.quotas.lend(input.asks)),
 		hostStatus: trpc.procedure.query(() => options.status.host()),
 		regionStatus: trpc.procedure.query(async () => options.status.region()),
 	});
--- a/src/services/steering-service.ts
+++ b/src/services/steering-service.ts
@@ -30,6 +30,7 @@
 	readonly #trafficSplit = new TrafficSplit();
 	readonly #evacuatedZones = new Set<string>();
 	readonly #hosts = new Map<string, ListedHost>();
+	readonly #quotaSlots = new Map<number, {readonly host: string; readonly revision: number}>();
 	#hostsByRegion: ReadonlyMap<string, number> = new Map();
 	#addressesByRegion: ReadonlyMap<string, readonly string[]> = new Map();
 	readonly #listeners: Array<(table: RouteTable) => void> = [];
@@ -68,6 +69,11 @@
 		return this.#hosts;
 	}
 
+	/** Hosts that have slots of the quotas, by slot. */
+	get quotaSlots(): ReadonlyMap<number, {readonly host: string; readonly revision: number}> {
+		return this.#quotaSlots;
+	}
+
 	/** Returns the number of listed hosts by region. */
 	hostsByRegion(): ReadonlyMap<string, number> {
 		return this.#hostsByRegion;
@@ -131,6 +137,11 @@
 					break;
 				}
 
+				case 'quota_slot': {
+					this.#applyQuotaSlot(subject.slot, change);
+					break;
+				}
+
 				case 'other': {
 					break;
 				}
@@ -208,6 +219,15 @@
 		});
 	}
 
+	#applyQuotaSlot(slot: number, change: StoreChange): void {
+		const host = change.kind === 'written' ? this.#options.itemCodec.decodeQuotaSlot(change.item.value) : undefined;
+		if (change.kind === 'written' && host?.success) {
+			this.#quotaSlots.set(slot, {host: host.data, revision: change.item.revision});
+		} else {
+			this.#quotaSlots.delete(slot);
+		}
+	}
+
 	#applyHost(id: string, change: StoreChange): void {
 		const {itemCodec, logger} = this.#options;
 		if (change.kind === 'removed') {
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -32,6 +32,7 @@
 import {PlannerService} from './services/planner-service.js';
 import {ProxyService} from './services/proxy-service.js';
 import {QuarantineService} from './services/quarantine-service.js';
+import {addQuotas} from './services/quotas/add-quotas.js';
 import {Readiness} from './services/readiness.js';
 import {ReplicaService} from './services/replica-service.js';
 import {HostListService} from './services/host-list-service.js';
@@ -91,6 +92,7 @@
 	addInfrastructure(kernel, settings, platform, self);
 	addReplicatedState(kernel, settings, platform, seed);
 	addMembership(kernel, platform, self, seed);
+	addQuotas(kernel, settings, platform.itemCodec);
 	addRequestPath(kernel, settings, platform, seed);
 	addServers(kernel, settings);
 	return kernel;
@@ -251,7 +253,7 @@
 			},
 		})
 		.add({
-			name: 'proxy', requires: ['clock', 'logger', 'metrics', 'steering', 'instances', 'instanceClient', 'quarantine', 'members', 'planner', 'notices'], start({get}) {
+			name: 'proxy', requires: ['clock', 'logger', 'metrics', 'steering', 'instances', 'instanceClient', 'quarantine', 'members', 'planner', 'notices', 'quotas'], start({get}) {
 				const members = get('members');
 				const placement = new Placement({
 					table: get('instances'),
@@ -282,6 +284,7 @@
 					quarantine: get('quarantine'),
 					planner: get('planner'),
 					notices: get('notices'),
+					quotas: get('quotas'),
 					turns: new LoopTurns({clock: get('clock'), sliceMs: requestSliceMs}),
 					observer: new AttemptObserver({
 						clock: get('clock'), metrics: get('metrics'), planner: get('planner'), region: settings.host.region,
@@ -315,7 +318,7 @@
 			start: ({get}) => new DirectoryService({members: get('members'), ttlMs: directoryTtlMs}),
 		})
 		.add({
-			name: 'stop', requires: ['clock', 'logger', 'members', 'proxy', 'ingress'],
+			name: 'stop', requires: ['clock', 'logger', 'members', 'proxy', 'ingress', 'quotaSlots'],
 			start({get}) {
 				const ingress = get('ingress');
 				const proxy = get('proxy');
@@ -325,6 +328,7 @@
 					members: get('members'),
 					countRequestsInFlight: () => proxy.inFlight,
 					onBegin(endMs) {
+						get('quotaSlots').drain();
 						proxy.finishBy(endMs);
 						ingress.closeAfterNextResponse();
 					},
@@ -364,9 +368,9 @@
 			},
 		})
 		.add({
-			name: 'peerServer', requires: ['members', 'quarantine', 'replica', 'planner', 'status'], async start({get, lifecycle}) {
+			name: 'peerServer', requires: ['members', 'quarantine', 'replica', 'planner', 'status', 'quotas'], async start({get, lifecycle}) {
 				const router = SteeringRouter.create({
-					members: get('members'), quarantine: get('quarantine'), replica: get('replica'), planner: get('planner'), status: get('status'),
+					members: get('members'), quarantine: get('quarantine'), replica: get('replica'), planner: get('planner'), status: get('status'), quotas: get('quotas'),
 				});
 				await serveHttp(steeringPeerServer(router), {address: settings.listen.peers, receiveTimeoutMs}, lifecycle);
 				return {address: settings.listen.peers};
--- a/tools/placement-model/model-host.ts
+++ b/tools/placement-model/model-host.ts
@@ -106,6 +106,7 @@
 				isBlocked: () => false, reportCrash: async () => undefined, clearAfterResponse: ignore,
 			},
 			planner: this.planner,
+			quotas: {take: async () => ({kind: 'granted', hasWaited: false, giveBack: ignore})},
 			turns: {next: async () => undefined},
 			observer: new AttemptObserver({
 				clock, metrics: noMetrics, planner: this.planner, region: member.region,
--- a/tools/placement-model/model-items.ts
+++ b/tools/placement-model/model-items.ts
@@ -23,5 +23,8 @@
 		decodeInstance: (_id, value) => ({success: true, data: JSON.parse(value) as LiveInstance}),
 		decodeHost: value => ({success: true, data: JSON.parse(value) as ListedHost}),
 		encodeHost: host => JSON.stringify(host),
+		quotaSlotKey: slot => `slot/${slot}`,
+		decodeQuotaSlot: value => ({success: true, data: value}),
+		encodeQuotaSlot: host => host,
 	};
 }
