--- a/src/decisions/quota-demand.ts
+++ b/src/decisions/quota-demand.ts
@@ -154,7 +154,7 @@
 		// At a low rate, tokens would be void before they are needed.
 		const isFrequent = ahead >= 1 && this.#recent >= minRequests;
 		let missing = Math.min(waiting, Math.max(minWaiting, limitPerMs * loanMs)) + (isFrequent ? ahead : 0) - held;
-		const steadyPerMs = Math.min(rateOf(this.#steady, steadyTimeMs, nowMs - this.#sinceMs), limitPerMs);
+		const steadyPerMs = Math.min(lowerBound(rateOf(this.#steady, steadyTimeMs, nowMs - this.#sinceMs), loanMs), limitPerMs);
 		let missingPerMs = nowMs - this.#sinceMs >= steadyMs ? steadyPerMs - suppliedPerMs : 0;
 		if (missingPerMs < minMissingShare * steadyPerMs || missingPerMs * loanMs < minStreamTokens) {
 			missingPerMs = 0;
@@ -201,6 +201,11 @@
 	}
 }
 
+/** Returns the rate that random arrivals of a mean rate use most of the time; what is minted beyond it would expire. */
+function lowerBound(ratePerMs: number, loanMs: number): number {
+	return ratePerMs * Math.max(0, 1 - (1 / Math.sqrt(2 * ratePerMs * loanMs)));
+}
+
 /** Returns the rate that a decayed count stands for after demand of some duration. */
 function rateOf(count: number, timeMs: number, durationMs: number): number {
 	return count / (timeMs * (1 - Math.exp(-Math.max(durationMs, minDurationMs) / timeMs)));
--- a/tools/measure.ts
+++ b/tools/measure.ts
@@ -7,6 +7,7 @@
 import {measureMembers} from './measure-members.js';
 import {measurePlacement} from './measure-placement.js';
 import {measurePath} from './measure-path.js';
+import {measureQuotas} from './measure-quotas.js';
 import {measureShift} from './measure-shift.js';
 import {measureStop} from './measure-stop.js';
 
@@ -21,6 +22,7 @@
 	'urgent-flood': async () => measureFlood('mostUrgent'),
 	shift: async () => measureShift('overload'),
 	'region-loss': async () => measureShift('loss'),
+	quotas: async () => measureQuotas({seed: cli.flags.seed}),
 	placement: async () => measurePlacement({file: cli.flags.scenario, seed: cli.flags.seed, svg: cli.flags.svg}),
 };
 
