--- a/src/services/host-list-service.test.ts
+++ b/src/services/host-list-service.test.ts
@@ -28,7 +28,7 @@
 					const leaseId = nextLeaseId++;
 					leases.add(leaseId);
 					calls.push(`open ${leaseId}`);
-					return {success: true, data: {leaseId, era}};
+					return {success: true, data: {leaseId, ttlMs: 60_000, era}};
 				},
 				putLeased: async (_key, _value, leaseId) => lookUp('put', leaseId),
 				renewLease: async leaseId => lookUp('renew', leaseId),
