Slots of quotas are kept only in the era of their lease, and leases opened only for slots

A restored store loses leases and gives their ids out again. The service of the slots renewed and ended its lease by the old id, which may then be another host's, and took the answer to such a renewal for its own. It now gives the lease up at the first contact to a new era and opens a new one.

--- a/src/contracts/prefix-store.ts
+++ b/src/contracts/prefix-store.ts
@@ -36,7 +36,8 @@
 	/** Writes a key and binds it to a lease, whatever its earlier value. */
 	readonly putLeased: (key: string, value: string, leaseId: number) => Promise<Result<EraStatement, LeaseError>>;
 	/** Writes a key and binds it to a lease if its revision is the expected one; 0 if it does not exist. */
-	readonly putLeasedIf: (write: {readonly key: string; readonly value: string; readonly leaseId: number; readonly expectedRevision: number}) => Promise<Result<EraStatement, LeaseError | ConflictError>>;
+	readonly putLeasedIf: (write: {readonly key: string; readonly value: string; readonly leaseId: number; readonly expectedRevision: number}) =>
+	Promise<Result<EraStatement, LeaseError | ConflictError>>;
 	/** Removes a key if its revision is the expected one. */
-	readonly removeIf: (key: string, expectedRevision: number) => Promise<Result<undefined, StoreError | ConflictError>>;
+	readonly removeIf: (key: string, expectedRevision: number) => Promise<Result<EraStatement, StoreError | ConflictError>>;
 };
--- a/src/services/quotas/add-quotas.ts
+++ b/src/services/quotas/add-quotas.ts
@@ -14,13 +14,14 @@
 	kernel
 		.add({name: 'quotaShare', requires: [], start: () => new QuotaShare({bounds, slots: quotaSlots})})
 		.add({
-			name: 'quotaSlots', requires: ['clock', 'logger', 'metrics', 'prefixStore', 'steering', 'quotaShare'], start({get, lifecycle}) {
+			name: 'quotaSlots', requires: ['clock', 'logger', 'metrics', 'prefixStore', 'steering', 'replica', 'quotaShare'], start({get, lifecycle}) {
 				const service = new QuotaSlotService({
 					clock: get('clock'),
 					logger: get('logger'),
 					metrics: get('metrics'),
 					store: get('prefixStore'),
 					steering: get('steering'),
+					replica: get('replica'),
 					slots: new QuotaSlots({self: host.id, slots: quotaSlots, rateLoanMs: QuotaShare.rateLoanMs}),
 					share: get('quotaShare'),
 					keyOf: itemCodec.quotaSlotKey,
--- a/src/services/quotas/quota-slot-service.ts
+++ b/src/services/quotas/quota-slot-service.ts
@@ -5,6 +5,7 @@
 import {type Lifecycle} from '../../kernel/lifecycle.js';
 import {type Logger} from '../logger.js';
 import {type Metrics} from '../metrics.js';
+import {type ReplicaService} from '../replica-service.js';
 import {type SteeringService} from '../steering-service.js';
 
 type QuotaSlotOptions = {
@@ -13,6 +14,7 @@
 	readonly metrics: Pick<Metrics, 'gauge' | 'count'>;
 	readonly store: Pick<PrefixStore, 'openLease' | 'renewLease' | 'endLease' | 'putLeasedIf' | 'removeIf'>;
 	readonly steering: Pick<SteeringService, 'onRoutes' | 'hosts' | 'quotaSlots'>;
+	readonly replica: Pick<ReplicaService, 'onNewEra'>;
 	readonly slots: QuotaSlots;
 	readonly share: Pick<QuotaShare, 'setSlots'>;
 	readonly keyOf: (slot: number) => string;
@@ -20,6 +22,14 @@
 	readonly value: string;
 };
 
+/** A lease is of use only in the era of the store in which it was opened: a restored store may give its id to another host. */
+type Lease = {
+	readonly id: number;
+	readonly era: number;
+	/** Time to live that the store granted. */
+	readonly ttlMs: number;
+};
+
 type SlotAction = ReturnType<QuotaSlots['plan']>[number];
 
 /**
@@ -38,9 +48,7 @@
 	readonly #options: QuotaSlotOptions;
 	#isNeeded = false;
 	#isBusy = false;
-	#leaseId: number | undefined;
-	/** Time to live that the store granted. */
-	#ttlMs = 0;
+	#lease: Lease | undefined;
 	#nextLeaseCallMs = Number.NEGATIVE_INFINITY;
 	#lentUntilMs: number | undefined;
 	#loggedCount = 0;
@@ -50,10 +58,13 @@
 	}
 
 	start(lifecycle: Pick<Lifecycle, 'every' | 'addCleanup'>): void {
-		const {steering, slots, clock, metrics} = this.#options;
+		const {steering, replica, slots, clock, metrics} = this.#options;
 		steering.onRoutes(({accounts}) => {
 			this.#isNeeded ||= [...accounts.values()].some(account => account.quota !== undefined);
 		});
+		replica.onNewEra(era => {
+			this.#checkEra(era);
+		});
 		metrics.gauge('quota_slots', () => slots.activeCount(clock.nowMs()));
 		lifecycle.every('slots of the quotas', tickMs, () => {
 			void this.#tick();
@@ -75,13 +86,17 @@
 
 		this.#isBusy = true;
 		try {
-			await this.#keepLease();
 			const {slots, steering, clock} = this.#options;
 			const actions = slots.plan({holders: steering.quotaSlots, hosts: [...steering.hosts.keys()]}, clock.nowMs());
 			this.#apply();
+			// Most hosts of a large deployment never have a slot, and calls to the store are paid for.
+			if (this.#lease !== undefined || actions.some(action => action.kind === 'claim')) {
+				await this.#keepLease();
+			}
+
 			for (const action of actions) {
-				if (this.#leaseId !== undefined) {
-					await this.#act(action, this.#leaseId);
+				if (this.#lease !== undefined) {
+					await this.#act(action, this.#lease);
 				}
 			}
 		} finally {
@@ -97,41 +112,51 @@
 			return;
 		}
 
-		if (this.#leaseId === undefined) {
+		if (this.#lease === undefined) {
 			this.#nextLeaseCallMs = sentMs + retryMs;
-			const lease = await store.openLease(leaseMs);
-			if (lease.success) {
-				this.#leaseId = lease.data.leaseId;
+			const opened = await store.openLease(leaseMs);
+			if (opened.success) {
+				const {leaseId, era} = opened.data;
+				this.#lease = {id: leaseId, era, ttlMs: Math.min(leaseMs, opened.data.ttlMs)};
 				this.#nextLeaseCallMs = sentMs + renewMs;
-				this.#ttlMs = Math.min(leaseMs, lease.data.ttlMs);
-				slots.recordLease(sentMs, this.#ttlMs);
+				slots.recordLease(sentMs, this.#lease.ttlMs);
 			}
 
 			return;
 		}
 
+		const {id, ttlMs} = this.#lease;
 		this.#nextLeaseCallMs = sentMs + renewMs;
-		const renewed = await store.renewLease(this.#leaseId);
-		if (renewed.success) {
-			slots.recordLease(sentMs, this.#ttlMs);
-		} else if (renewed.error.code === 'no_lease') {
+		const renewed = await store.renewLease(id);
+		if (renewed.success && this.#checkEra(renewed.data.era)) {
+			slots.recordLease(sentMs, ttlMs);
+		} else if (!renewed.success && renewed.error.code === 'no_lease') {
 			this.#loseLease();
 		}
 	}
 
+	/** Returns whether the lease is of an era that the store states, and gives it up otherwise. */
+	#checkEra(era: number): boolean {
+		if (this.#lease !== undefined && this.#lease.era !== era) {
+			this.#loseLease();
+		}
+
+		return this.#lease !== undefined;
+	}
+
 	#loseLease(): void {
 		const {slots, logger} = this.#options;
 		logger.info('the lease of the slots of the quotas has ended; this host no longer mints for them');
 		slots.recordLeaseLost();
-		this.#leaseId = undefined;
+		this.#lease = undefined;
 		this.#nextLeaseCallMs = Number.NEGATIVE_INFINITY;
 	}
 
-	async #act(action: SlotAction, leaseId: number): Promise<void> {
+	async #act(action: SlotAction, lease: Lease): Promise<void> {
 		const {store, slots, keyOf, value, clock, logger, metrics} = this.#options;
 		const result = action.kind === 'claim'
 			? await store.putLeasedIf({
-				key: keyOf(action.slot), value, leaseId, expectedRevision: action.expectedRevision,
+				key: keyOf(action.slot), value, leaseId: lease.id, expectedRevision: action.expectedRevision,
 			})
 			: await store.removeIf(keyOf(action.slot), action.expectedRevision);
 		metrics.count('quota_slot_writes', {kind: action.kind, result: result.success ? 'written' : result.error.code});
@@ -146,6 +171,10 @@
 			return;
 		}
 
+		if (!this.#checkEra(result.data.era)) {
+			return;
+		}
+
 		if (action.kind === 'claim') {
 			slots.recordClaim(action.slot, action.expectedRevision !== 0, clock.nowMs());
 		} else {
@@ -167,8 +196,8 @@
 	/** Ends the lease, so that other hosts claim the slots, unless rates are still lent. */
 	async #endLease(): Promise<void> {
 		const isLent = this.#lentUntilMs === undefined || this.#options.clock.nowMs() < this.#lentUntilMs;
-		if (this.#leaseId !== undefined && !isLent) {
-			await this.#options.store.endLease(this.#leaseId);
+		if (this.#lease !== undefined && !isLent) {
+			await this.#options.store.endLease(this.#lease.id);
 		}
 	}
 }
