Quotas: hosts without slots hold no lease

At 300 hosts with 16 slots each host renewed a lease, 15 calls of the store a second in all; now a host opens one for its first slot and ends it after its last.

--- a/src/decisions/quota-slots.ts
+++ b/src/decisions/quota-slots.ts
@@ -66,6 +66,11 @@
 		return this.#validUntilMs;
 	}
 
+	/** Number of slots whose entries this host has written. */
+	get heldCount(): number {
+		return this.#held.size;
+	}
+
 	/** Number of slots for which this host mints now. */
 	activeCount(nowMs: number): number {
 		return nowMs >= this.#validUntilMs ? 0 : [...this.#held.values()].filter(slot => slot.drainingFromMs === undefined && slot.activeFromMs <= nowMs).length;
--- a/src/services/quotas/quota-slot-service.ts
+++ b/src/services/quotas/quota-slot-service.ts
@@ -75,10 +75,10 @@
 
 		this.#isBusy = true;
 		try {
-			await this.#keepLease();
 			const {slots, steering, clock} = this.#options;
 			const actions = slots.plan({holders: steering.quotaSlots, hosts: [...steering.hosts.keys()]}, clock.nowMs());
 			this.#apply();
+			await this.#keepLease(actions.length > 0);
 			for (const action of actions) {
 				if (this.#leaseId !== undefined) {
 					await this.#act(action, this.#leaseId);
@@ -90,8 +90,21 @@
 		}
 	}
 
-	async #keepLease(): Promise<void> {
+	/** Opens a lease for the first slot, renews it, and ends it after the last one: most hosts of a large system need none. */
+	async #keepLease(hasActions: boolean): Promise<void> {
 		const {store, slots, clock} = this.#options;
+		const isNeeded = hasActions || slots.heldCount > 0;
+		if (!isNeeded && this.#leaseId !== undefined) {
+			const leaseId = this.#leaseId;
+			this.#leaseId = undefined;
+			this.#nextLeaseCallMs = Number.NEGATIVE_INFINITY;
+			await store.endLease(leaseId);
+		}
+
+		if (!isNeeded) {
+			return;
+		}
+
 		const sentMs = clock.nowMs();
 		if (sentMs < this.#nextLeaseCallMs) {
 			return;
