--- a/src/cli/request-history.test.ts
+++ b/src/cli/request-history.test.ts
@@ -32,11 +32,12 @@
 		expect(requestHistory([answered, ...refused].join('\n'), 'r1').ending).toBe('request answered late with status 200 of i-1 by edge-2 after 900 ms');
 	});
 
-	it('tells a missing key, a lack of common regions and a lack of capacity apart, with the figures of each', () => {
+	it('tells a missing key, a lack of common regions, a used-up quota and a lack of capacity apart, with the figures of each', () => {
 		const message = 'request ended without an answer of an instance';
 		const endingOf = (reason: string, figures: Record<string, unknown>) => requestHistory(line('2026-01-01T00:00:01Z', 'edge-1', message, {reason, figures}), 'r1').ending;
 		expect(endingOf('unauthorized', {cause: 'missing_key', configuration: 7})).toMatch(/its route is not public .* \(cause missing_key, configuration 7\)$/);
 		expect(endingOf('no_common_region', {routeRegions: 'dsm', accountRegions: 'aru'})).toMatch(/its route and its account \(routeRegions dsm, accountRegions aru\)$/);
+		expect(endingOf('over_quota', {ratePerSecond: 5, slots: 8, tokens: 0.25})).toMatch(/used up its quota .*status 429.* \(ratePerSecond 5, slots 8, tokens 0\.25\)$/);
 		expect(endingOf('busy', {excessWaitMs: 80})).toMatch(/deadline would have passed .* \(excessWaitMs 80\)$/);
 	});
 
--- a/src/cli/request-history.ts
+++ b/src/cli/request-history.ts
@@ -19,7 +19,7 @@
 	no_upstream: 'no instance accepted requests; see "instance missing" and "zone evacuated" in the seconds before',
 	busy: 'its deadline would have passed while it waited, or it would have delayed more urgent requests; see "load of the region"',
 	paused: 'all instances of its service had asked this host for a pause',
-	over_quota: 'its account had used up its quota over all hosts (status 429); "figures" of the line shows the rate, and the tokens and slots of this host',
+	over_quota: 'its account had used up its quota over all hosts (status 429); "tokens" and "slots" are those of this host',
 	shed: 'the instances that it was sent to refused it, and the route allowed no further attempt',
 	retry_budget: 'an instance refused it and the host had used up its share of the retry budget',
 	timeout: 'its deadline expired',
--- a/src/decisions/quota-share.ts
+++ b/src/decisions/quota-share.ts
@@ -1,6 +1,7 @@
 import {type Account} from '../contracts/account.js';
 import {type QuotaAsk} from '../contracts/quota-ask.js';
 import {type QuotaOffer} from '../contracts/quota-offer.js';
+import {lendableTokens} from './lendable-tokens.js';
 import {QuotaBucket} from './quota-bucket.js';
 import {QuotaDemand} from './quota-demand.js';
 import {quotaLimits} from './quota-limits.js';
@@ -351,8 +352,3 @@
 		}
 	}
 }
-
-/** Returns how many tokens to lend. Only one that completes a token is lent in fractions, since others would expire where they are of no use. */
-function lendableTokens(asked: number, level: number, part: number): number {
-	return asked < 1 ? (level >= asked ? asked : 0) : Math.floor(Math.min(asked, Math.max(part * level, Math.min(1, level))) + roundingError);
-}
--- a/test/quotas.test.ts
+++ b/test/quotas.test.ts
@@ -104,6 +104,15 @@
 		await until(async () => await statusOf('k-limited', 0) === 200 && await statusOf('k-limited', 1) === 200);
 	});
 
+	it('take the token back of a request that every instance refused, so that it is not lost to others', async () => {
+		const returned = () => daemons[0]!.kernel.get('metrics').render().includes('cowslipspar_quota_tokens_returned ');
+		await until(async () => await statusOf('k-limited', 0) === 200);
+		expect(returned()).toBe(false);
+		instance.behaviours = ['shed'];
+		await until(async () => await statusOf('k-limited', 0) === 503);
+		expect(returned()).toBe(true);
+	});
+
 	it('are not charged for requests that cannot run anywhere', async () => {
 		for (let round = 0; round < 60; round++) {
 			expect(await statusOf('k-lost', 0)).toBe(503);
