--- a/src/services/quotas/quota-slot-service.ts
+++ b/src/services/quotas/quota-slot-service.ts
@@ -89,11 +89,7 @@
 			const {slots, steering, clock} = this.#options;
 			const actions = slots.plan({holders: steering.quotaSlots, hosts: [...steering.hosts.keys()]}, clock.nowMs());
 			this.#apply();
-			// Most hosts of a large deployment never have a slot, and calls to the store are paid for.
-			if (this.#lease !== undefined || actions.some(action => action.kind === 'claim')) {
-				await this.#keepLease();
-			}
-
+			await this.#keepLease(actions.length > 0);
 			for (const action of actions) {
 				if (this.#lease !== undefined) {
 					await this.#act(action, this.#lease);
@@ -105,8 +101,21 @@
 		}
 	}
 
-	async #keepLease(): Promise<void> {
+	/** Opens a lease for the first slot, renews it, and ends it after the last one: most hosts of a large system need none. */
+	async #keepLease(hasActions: boolean): Promise<void> {
 		const {store, slots, clock} = this.#options;
+		const isNeeded = hasActions || slots.heldCount > 0;
+		if (!isNeeded && this.#lease !== undefined) {
+			const {id} = this.#lease;
+			this.#lease = undefined;
+			this.#nextLeaseCallMs = Number.NEGATIVE_INFINITY;
+			await store.endLease(id);
+		}
+
+		if (!isNeeded) {
+			return;
+		}
+
 		const sentMs = clock.nowMs();
 		if (sentMs < this.#nextLeaseCallMs) {
 			return;
