Measure the processor time of a request on a host with many instances

`npm run measure -- request-cost` starts three hosts and 198 instances on loopback, sends 0.2 requests a second for each pair of them, and prints the processor time under load less that at rest for each request, the connections opened for each request, and the time by step from a profile of one host. `--daemon` measures a built daemon of another version.

--- a/stand-ins/http-stand-in.ts
+++ b/stand-ins/http-stand-in.ts
@@ -10,6 +10,7 @@
 	readonly #handler: Handler;
 	readonly #sockets = new Set<Socket>();
 	#server: Server | undefined;
+	#accepted = 0;
 
 	constructor(handler: Handler) {
 		this.#handler = handler;
@@ -20,10 +21,16 @@
 		return this.#sockets.size;
 	}
 
+	/** Number of connections that were accepted since the start. */
+	get accepted(): number {
+		return this.#accepted;
+	}
+
 	/** Listens at an address and returns the port; with port 0, the port that the system assigned. */
 	async listen(host: string, port: number): Promise<number> {
 		const server = createServer({keepAliveTimeout: 600_000}, this.#handler);
 		server.on('connection', socket => {
+			this.#accepted++;
 			this.#sockets.add(socket);
 			socket.on('close', () => this.#sockets.delete(socket));
 			socket.on('error', () => undefined);
--- a/stand-ins/platform-instance-stand-in.ts
+++ b/stand-ins/platform-instance-stand-in.ts
@@ -38,6 +38,11 @@
 		void this.#handle(req, res);
 	});
 
+	/** Number of connections that were accepted since the start. */
+	get acceptedConnections(): number {
+		return this.#http.accepted;
+	}
+
 	async listen(host: string, port: number): Promise<number> {
 		return this.#http.listen(host, port);
 	}
--- a/tools/measure.ts
+++ b/tools/measure.ts
@@ -7,6 +7,7 @@
 import {measureMembers} from './measure-members.js';
 import {measurePlacement} from './measure-placement.js';
 import {measurePath} from './measure-path.js';
+import {measureRequestCost} from './measure-request-cost.js';
 import {measureShift} from './measure-shift.js';
 import {measureStop} from './measure-stop.js';
 
@@ -19,6 +20,7 @@
 	accounts: measureAccounts,
 	flood: async () => measureFlood('leastUrgent'),
 	'urgent-flood': async () => measureFlood('mostUrgent'),
+	'request-cost': async () => measureRequestCost({daemonScript: cli.flags.daemon}),
 	shift: async () => measureShift('overload'),
 	'region-loss': async () => measureShift('loss'),
 	placement: async () => measurePlacement({file: cli.flags.scenario, seed: cli.flags.seed, svg: cli.flags.svg}),
@@ -35,12 +37,16 @@
 	  --scenario  file of the load; default: examples/placement/small-region.toml
 	  --seed      seed of the play; default: 1
 	  --svg       file for a chart of what callers got by second
+
+	Options of request-cost
+	  --daemon  built daemon of another version to measure; default: the one of this version
 `, {
 	importMeta: import.meta,
 	flags: {
 		scenario: {type: 'string', default: 'examples/placement/small-region.toml'},
 		seed: {type: 'number', default: 1},
 		svg: {type: 'string'},
+		daemon: {type: 'string'},
 	},
 });
 
--- a/tools/platform-fleet.ts
+++ b/tools/platform-fleet.ts
@@ -23,6 +23,17 @@
 	readonly root: string;
 	/** Folder for the daemons' logs; without one they are discarded. */
 	readonly logFolder: string | undefined;
+	/** First two numbers of the loopback addresses; measurements that run beside others use their own. */
+	readonly network?: string;
+	/** Availability zones, with one host each. */
+	readonly zones?: readonly string[];
+	readonly services?: readonly string[];
+	/** Instances of each service in each zone. */
+	readonly instancesPerZone?: number;
+	/** Daemon to start in place of the one that is built, for instance one of an earlier version. */
+	readonly daemonScript?: string | undefined;
+	/** Returns the options of Node.js for the daemon of a host. */
+	readonly nodeOptionsOf?: (hostId: string) => readonly string[];
 };
 
 type Host = {readonly id: string; readonly region: string; readonly zone: string; readonly ip: string};
@@ -30,25 +41,21 @@
 type Configuration = ReturnType<typeof platformDocuments.configuration>;
 
 const regions = ['dsm', 'aru', 'mwz'];
-const zones = regions.flatMap(region => [`${region}-a`, `${region}-b`]);
-const regionByZone = Object.fromEntries(zones.map(zone => [zone, regionOf(zone)]));
+const defaultZones = regions.flatMap(region => [`${region}-a`, `${region}-b`]);
 const serviceMs = 20;
 const instancePort = 8080;
 const storeCallsPerSecond = 2000;
-const store = {host: '127.60.0.1', port: 8384};
+const defaultNetwork = '127.60';
+const storePort = 8384;
 
 /** Deployment of the platform on loopback addresses. The store and the instances run in this process, each daemon in a separate one. */
 export class PlatformFleet {
 	readonly store = new KvStoreStandIn(storeCallsPerSecond, 1);
-	readonly hosts: readonly Host[] = zones.map((zone, index) => ({
-		id: `edge-${zone}-1`, region: regionOf(zone), zone, ip: `127.60.${index + 1}.1`,
-	}));
-
-	readonly instances: readonly Instance[] = zones.flatMap((zone, index) => platformScenario.services.map((service, serviceIndex) => ({
-		id: `i-${service}-${zone}`, zone, service, address: `127.60.${index + 1}.${serviceIndex + 10}:${instancePort}`, standIn: new PlatformInstanceStandIn(),
-	})));
+	readonly hosts: readonly Host[];
+	readonly instances: readonly Instance[];
 
 	readonly #options: FleetOptions;
+	readonly #storeHost: string;
 	readonly #folder = mkdtempSync(join(tmpdir(), 'cowslipspar-'));
 	readonly #daemons = new Map<string, Child>();
 	/** Value of the field `born` of the latest instance: a counter in place of a time. */
@@ -56,11 +63,27 @@
 
 	constructor(options: FleetOptions) {
 		this.#options = options;
+		const {network = defaultNetwork, zones = defaultZones, services = platformScenario.services, instancesPerZone = 1} = options;
+		this.#storeHost = `${network}.0.1`;
+		this.hosts = zones.map((zone, index) => ({
+			id: `edge-${zone}-1`, region: regionOf(zone), zone, ip: `${network}.${index + 1}.1`,
+		}));
+		this.instances = zones.flatMap((zone, index) => Array.from({length: services.length * instancesPerZone}, (_, position) => {
+			const service = services[position % services.length]!;
+			const number = Math.floor(position / services.length);
+			return {
+				id: `i-${service}-${zone}${number === 0 ? '' : `-${number + 1}`}`,
+				zone,
+				service,
+				address: `${network}.${index + 1}.${position + 10}:${instancePort}`,
+				standIn: new PlatformInstanceStandIn(),
+			};
+		}));
 	}
 
 	/** Starts the store and the instances, and publishes an initial configuration. */
 	async startStandIns(configuration: Configuration): Promise<void> {
-		await this.store.listen(store.host, store.port);
+		await this.store.listen(this.#storeHost, storePort);
 		await Promise.all(this.instances.map(async ({
 			id, zone, service, address, standIn,
 		}) => {
@@ -78,10 +101,12 @@
 
 	/** Builds the daemon, starts it on every host and waits until all accept requests. */
 	async startDaemons(): Promise<void> {
-		const {root, logFolder} = this.#options;
-		const bundling = await Child.start({script: join(root, 'deploy', 'bundle.js'), args: [], shouldAwaitReady: false});
-		if (await bundling.exited !== 0) {
-			throw new Error('building the daemon failed: deploy/bundle.js exited with a code other than 0');
+		const {root, logFolder, daemonScript} = this.#options;
+		if (daemonScript === undefined) {
+			const bundling = await Child.start({script: join(root, 'deploy', 'bundle.js'), args: [], shouldAwaitReady: false});
+			if (await bundling.exited !== 0) {
+				throw new Error('building the daemon failed: deploy/bundle.js exited with a code other than 0');
+			}
 		}
 
 		if (logFolder !== undefined) {
@@ -93,17 +118,18 @@
 
 	/** Starts the daemon of one host and waits until it accepts requests. */
 	async startDaemon(id: string): Promise<void> {
-		const {root, logFolder} = this.#options;
+		const {root, logFolder, daemonScript, nodeOptionsOf} = this.#options;
 		const host = this.hosts.find(item => item.id === id)!;
 		const file = join(this.#folder, `${id}.toml`);
 		const template = readFileSync(join(root, 'deploy', 'daemon.toml'), 'utf8');
 		const seeds = this.hosts.slice(0, 3).map(({ip}) => ip);
 		writeFileSync(file, renderTemplate(template, platformSettingsFields({
-			...host, zones: regionByZone, seeds, storeAddress: `${store.host}:${store.port}`,
+			...host, zones: Object.fromEntries(this.hosts.map(item => [item.zone, item.region])), seeds, storeAddress: `${this.#storeHost}:${storePort}`,
 		})));
 		this.#daemons.set(id, await Child.start({
-			script: join(root, 'target', 'cowslipspar.mjs'),
+			script: daemonScript ?? join(root, 'target', 'cowslipspar.mjs'),
 			args: [],
+			nodeOptions: nodeOptionsOf?.(id) ?? [],
 			env: {[platformNames.settingsVariable]: file},
 			shouldAwaitReady: false,
 			...(logFolder !== undefined && {logFile: join(logFolder, `${id}.log`)}),
