Repeatable requests use connections that have been idle for up to 15 s

With 0.2 requests a second for a pair of host and instance, 0.39 connections were opened for each request, because connections that had been idle for 4 s were closed. The first attempt of a repeatable request may now use the connection to an instance that was used last, if it has been idle for up to 15 s; it can be sent again if the instance has forgotten the connection. Requests that must not be repeated, last attempts and retries keep the limit of 4 s, so that one request does not lose two connections and count as one that crashes instances. The HTTP client closes a connection two seconds before the end of the idle timeout that the instance states, as before; without a stated timeout the 15 s hold.

If a connection that was idle for longer than 4 s is lost or silent until the deadline, the limit for its instance is 4 s for a minute; after silence the long-idle connections to all instances are closed, since the same failure may affect them. One such connection is kept for each instance.

--- a/src/adapters/connection-pool.ts
+++ b/src/adapters/connection-pool.ts
@@ -8,6 +8,8 @@
 	readonly client: Client;
 	/** Time at which the last response was received, in monotonic milliseconds; `undefined` before the first. */
 	lastReceivedMs: number | undefined;
+	/** Whether the present exchange began after the connection had been idle for longer than the usual limit. */
+	wasLongIdle: boolean;
 	/** Whether the connection failed; a response that is delimited by the end of the connection may then be truncated. */
 	hasFailed: boolean;
 	/** Records that what was received until now belongs to the response. */
@@ -20,6 +22,8 @@
 	readonly clock: Clock;
 	/** Idle time after which a connection is not reused. */
 	readonly idleLimitMs: number;
+	/** Idle time after which a connection is not reused for exchanges that may be repeated; `idleLimitMs` unless it is given. */
+	readonly longIdleLimitMs?: number;
 	/** Timeout for opening a connection. */
 	readonly connectTimeoutMs: number;
 	/** Upper limit of the wait for a response's headers, and for each part of its body. */
@@ -33,9 +37,15 @@
  * end. It exceeds what is received ahead while nobody reads.
  */
 const maxBytesWithoutProgress = 1_048_576;
+/**
+ * Time for which connections to an address are reused within the usual idle limit only, after one that had been idle for longer was lost or
+ * gave no response in time: the peer forgets its idle connections, or they went silent.
+ */
+const longIdlePauseMs = 60_000;
 
 /**
- * Connections to one address. Each exchange uses a new connection or one that received a response within the idle limit.
+ * Connections to one address. Each exchange uses a new connection or one that received a response within the idle limit. The HTTP client
+ * closes an idle connection two seconds before the end of the idle timeout that the peer states in its `Keep-Alive` header.
  * After an exchange has timed out, `closeIdleSince` closes the idle connections that have received no response since its start,
  * because the same failure probably affects them.
  */
@@ -44,6 +54,7 @@
 	readonly #connect: ReturnType<typeof buildConnector>;
 	readonly #idle: Connection[] = [];
 	readonly #busy = new Set<Connection>();
+	#longIdleFromMs = Number.NEGATIVE_INFINITY;
 
 	constructor(options: PoolOptions) {
 		this.#options = options;
@@ -55,11 +66,22 @@
 		return this.#idle.length + this.#busy.size;
 	}
 
-	/** Returns a connection for one exchange, or `undefined` if the limit of connections is reached. */
-	acquire(): Connection | undefined {
+	/** Whether the pool has no connections and no state of its own. */
+	get isUnused(): boolean {
+		return this.size === 0 && this.#options.clock.nowMs() >= this.#longIdleFromMs;
+	}
+
+	/** Returns a connection for one exchange, or `undefined` if the limit of connections is reached. `allowsLongIdle` is for exchanges that may be repeated. */
+	acquire(allowsLongIdle = false): Connection | undefined {
 		this.closeExpired();
-		const conn = this.#idle.pop() ?? this.#open();
+		const isLongIdle = this.#isLongIdle(this.#idle.at(-1));
+		if (isLongIdle && !allowsLongIdle && this.size >= this.#options.maxConnections) {
+			this.closeLongIdle();
+		}
+
+		const conn = (isLongIdle && !allowsLongIdle ? undefined : this.#idle.pop()) ?? this.#open();
 		if (conn !== undefined) {
+			conn.wasLongIdle = isLongIdle && allowsLongIdle;
 			conn.markProgress();
 			this.#busy.add(conn);
 		}
@@ -85,10 +107,23 @@
 		this.#closeWhere(conn => (conn.lastReceivedMs ?? 0) <= sinceMs);
 	}
 
-	/** Closes the connections that have been idle for longer than the limit. */
+	/** Closes the connections that failed or have been idle for longer than the limit. Only the one that was used last is kept until the limit for long idleness. */
 	closeExpired(): void {
-		const oldestMs = this.#options.clock.nowMs() - this.#options.idleLimitMs;
-		this.#closeWhere(conn => (conn.lastReceivedMs ?? 0) < oldestMs);
+		const {clock, idleLimitMs, longIdleLimitMs = idleLimitMs} = this.#options;
+		const nowMs = clock.nowMs();
+		const newest = nowMs < this.#longIdleFromMs ? undefined : this.#idle.at(-1);
+		this.#closeWhere(conn => conn.hasFailed || nowMs - (conn.lastReceivedMs ?? 0) > (conn === newest ? longIdleLimitMs : idleLimitMs));
+	}
+
+	/** Closes the connections that have been idle for longer than the usual limit. */
+	closeLongIdle(): void {
+		this.#closeWhere(conn => this.#isLongIdle(conn));
+	}
+
+	/** Closes the connections that have been idle for longer than the usual limit and keeps none so long for some time. */
+	suspendLongIdle(): void {
+		this.#longIdleFromMs = this.#options.clock.nowMs() + longIdlePauseMs;
+		this.closeLongIdle();
 	}
 
 	/** Closes all connections, including those with an exchange. */
@@ -99,6 +134,10 @@
 		}
 	}
 
+	#isLongIdle(conn: Connection | undefined): boolean {
+		return conn !== undefined && this.#options.clock.nowMs() - (conn.lastReceivedMs ?? 0) > this.#options.idleLimitMs;
+	}
+
 	#closeWhere(shouldClose: (conn: Connection) => boolean): void {
 		for (const conn of this.#idle.splice(0)) {
 			if (shouldClose(conn)) {
@@ -124,6 +163,9 @@
 				this.#connect(options, (...result) => {
 					const [err, socket] = result;
 					if (err === null) {
+						// The client opens a connection anew if the peer closed the one before in an orderly way while it was idle.
+						conn.lastReceivedMs = undefined;
+						conn.wasLongIdle = false;
 						watchForFailure(socket, () => {
 							conn.hasFailed = true;
 						});
@@ -135,7 +177,7 @@
 			},
 		});
 		const conn: Connection = {
-			client, lastReceivedMs: undefined, hasFailed: false, markProgress: () => undefined,
+			client, lastReceivedMs: undefined, wasLongIdle: false, hasFailed: false, markProgress: () => undefined,
 		};
 		return conn;
 	}
--- a/src/adapters/instance-client.ts
+++ b/src/adapters/instance-client.ts
@@ -37,6 +37,11 @@
 
 /** Idle time after which a connection is not reused; this also removes connections that failed without being closed. */
 const idleLimitMs = 4000;
+/**
+ * Idle time after which a connection is not reused for the first attempt of a repeatable request. With 0.2 requests a second to an instance,
+ * gaps longer than this are 5% of all.
+ */
+const longIdleLimitMs = 15_000;
 /** Timeout for opening a connection; a round trip between regions takes about 110 ms. */
 const connectTimeoutMs = 300;
 /** One week; the timeout of each exchange is set by its caller. */
@@ -62,7 +67,7 @@
 		this.#droppedNames = toDroppedNames([...perConnectionNames, ...replacedHeaders]);
 		this.#droppedNamesWithIdentity = toDroppedNames([...perConnectionNames, ...replacedHeaders, ...identityHeaders]);
 		this.#pools = new PoolSet({
-			clock: options.clock, idleLimitMs, connectTimeoutMs, exchangeLimitMs, maxConnections: options.maxConnections,
+			clock: options.clock, idleLimitMs, longIdleLimitMs, connectTimeoutMs, exchangeLimitMs, maxConnections: options.maxConnections,
 		});
 	}
 
@@ -74,7 +79,7 @@
 	/** Sends one request; returns when it has ended, or when a response that is too long to be buffered has begun. */
 	async send(call: InstanceCall): Promise<InstanceResult> {
 		const pool = this.#pools.get(call.address);
-		const conn = pool.acquire();
+		const conn = pool.acquire(call.allowsLongIdle);
 		if (conn === undefined) {
 			return {kind: 'not_sent', detail: 'the limit of connections is reached'};
 		}
@@ -141,6 +146,12 @@
 			pool.discard(conn);
 			if (scope.isOverdue) {
 				pool.closeIdleSince(startMs);
+				if (conn.wasLongIdle) {
+					// The failure that silenced this connection may have silenced those to other instances, too.
+					pool.suspendLongIdle();
+					this.#pools.closeLongIdle();
+				}
+
 				return {kind: 'overdue'};
 			}
 
@@ -148,6 +159,10 @@
 				return {kind: 'cancelled'};
 			}
 
+			if (conn.wasLongIdle) {
+				pool.suspendLongIdle();
+			}
+
 			return informationalCount > maxInformationalResponses
 				? {kind: 'broken', detail: `more than ${maxInformationalResponses} informational responses`}
 				: describeFailure(err);
--- a/src/adapters/pool-set.ts
+++ b/src/adapters/pool-set.ts
@@ -5,6 +5,8 @@
 	readonly clock: Clock;
 	/** Idle time after which a connection is not reused. */
 	readonly idleLimitMs: number;
+	/** Idle time after which a connection is not reused for exchanges that may be repeated; `idleLimitMs` unless it is given. */
+	readonly longIdleLimitMs?: number;
 	readonly connectTimeoutMs: number;
 	readonly exchangeLimitMs: number;
 	readonly maxConnections: number;
@@ -40,16 +42,23 @@
 		return pool;
 	}
 
-	/** Closes the connections that have been idle for too long, and removes pools without connections. */
+	/** Closes the connections that have been idle for too long, and removes unused pools. */
 	sweep(): void {
 		for (const [address, pool] of this.#pools) {
 			pool.closeExpired();
-			if (pool.size === 0) {
+			if (pool.isUnused) {
 				this.#pools.delete(address);
 			}
 		}
 	}
 
+	/** Closes the connections to all addresses that have been idle for longer than the usual limit. */
+	closeLongIdle(): void {
+		for (const pool of this.#pools.values()) {
+			pool.closeLongIdle();
+		}
+	}
+
 	/** Closes all connections. */
 	close(): void {
 		for (const pool of this.#pools.values()) {
--- a/src/contracts/instance-call.ts
+++ b/src/contracts/instance-call.ts
@@ -18,6 +18,11 @@
 	readonly body: Uint8Array | AsyncIterable<Uint8Array> | undefined;
 	/** Time within which the whole response must be received, in milliseconds. */
 	readonly remainingMs: number;
+	/**
+	 * Whether a connection may be used that has been idle for long: the peer may have forgotten it, so that the request is lost and must be sent
+	 * again. Not allowed unless it is given.
+	 */
+	readonly allowsLongIdle?: boolean;
 	/** Called with the head of each response that arrives, including one that belongs to another request, before its body is read. */
 	readonly onHead: (info: ReturnType<HttpDialect['readResponse']>) => void;
 	/** Aborted when the client closes its connection. */
--- a/src/decisions/request-attempts.test.ts
+++ b/src/decisions/request-attempts.test.ts
@@ -60,6 +60,19 @@
 	return {violations, sequences};
 }
 
+describe('the use of connections that the peer may have forgotten', () => {
+	it('is allowed to the first attempt of a repeatable request only, so that no request is lost without another attempt', () => {
+		const attempts = new RequestAttempts({isRepeatable: true, maxAttempts: 3});
+		expect(attempts.mayBeLost).toBe(true);
+		attempts.recordResult('not_sent');
+		expect(attempts.mayBeLost).toBe(true);
+		attempts.recordResult('unknown');
+		expect(attempts.mayBeLost).toBe(false);
+		expect(new RequestAttempts({isRepeatable: false, maxAttempts: 3}).mayBeLost).toBe(false);
+		expect(new RequestAttempts({isRepeatable: true, maxAttempts: 1}).mayBeLost).toBe(false);
+	});
+});
+
 describe('every sequence of attempts', () => {
 	const cases = [1, 2, 3, 4].flatMap(maxAttempts => [true, false].map(isRepeatable => ({isRepeatable, maxAttempts})));
 
--- a/src/decisions/request-attempts.ts
+++ b/src/decisions/request-attempts.ts
@@ -42,6 +42,11 @@
 		return this.#arrivals > 0;
 	}
 
+	/** Whether the next attempt is the first to reach an instance and may be followed by another one without proof that it did not run. */
+	get mayBeLost(): boolean {
+		return this.#options.isRepeatable && this.#options.maxAttempts > 1 && this.#arrivals === 0;
+	}
+
 	/** Records the result of an attempt; returns whether another attempt is allowed. */
 	recordResult(result: AttemptResult): boolean {
 		switch (result) {
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -305,6 +305,7 @@
 			accountName: admission.account?.name,
 			body: toCallBody(body),
 			remainingMs,
+			allowsLongIdle: context.attempts.mayBeLost,
 			onHead(info) {
 				notices.recordHead(entry.instance, info);
 			},
