Placement looks up an assigned instance instead of filtering all of them

Each request filtered and mapped all instances of its service several times, and sorted them by hash where the object had no assignment. A request for an object with a usable assignment and a wait that is allowed anywhere now takes the instance from the table; the others take the first usable instance in the object's order without sorting, also in the plan. The table keeps its entries by service.

--- a/src/decisions/instance-table.ts
+++ b/src/decisions/instance-table.ts
@@ -28,6 +28,8 @@
 	readonly notices = new InstanceNotices();
 	readonly #options: InstanceTableOptions;
 	readonly #entries = new Map<string, Entry>();
+	/** Entries by service, in the order of `#entries`; `undefined` after a change until they are needed. */
+	#byService: Map<string, Entry[]> | undefined;
 	#evacuated: ReadonlySet<string> = new Set();
 
 	constructor(options: InstanceTableOptions) {
@@ -43,6 +45,7 @@
 	write(instance: LiveInstance, nowMs: number): void {
 		const known = this.#entries.get(instance.id);
 		const isSameProcess = known?.instance.born === instance.born && known.instance.address === instance.address;
+		this.#byService = undefined;
 		this.#entries.set(instance.id, {
 			instance,
 			region: this.#options.regionOf.get(instance.zone) ?? '',
@@ -77,7 +80,7 @@
 	remove(id: string, retainUntilMs: number, nowMs: number): void {
 		const known = this.#entries.get(id);
 		if (known !== undefined && retainUntilMs <= nowMs) {
-			this.#entries.delete(id);
+			this.#delete(id);
 		} else if (known !== undefined) {
 			known.retainUntilMs = retainUntilMs;
 		}
@@ -92,14 +95,21 @@
 	expire(nowMs: number): void {
 		for (const [id, entry] of this.#entries) {
 			if (entry.retainUntilMs !== undefined && nowMs >= entry.retainUntilMs) {
-				this.#entries.delete(id);
+				this.#delete(id);
 			}
 		}
 	}
 
 	/** Returns the instances of a service that accept requests, including those that could not be reached recently or asked for a pause. */
 	serving(service: string): Entry[] {
-		return [...this.#entries.values()].filter(({instance}) => instance.service === service && this.#isServing(instance));
+		this.#byService ??= groupByService(this.#entries.values());
+		return (this.#byService.get(service) ?? []).filter(({instance}) => this.#isServing(instance));
+	}
+
+	/** Returns the entry of an instance if it is one of `serving(service)`. */
+	servingOne(id: string, service: string): Entry | undefined {
+		const entry = this.#entries.get(id);
+		return entry?.instance.service === service && this.#isServing(entry.instance) ? entry : undefined;
 	}
 
 	/** Returns the instances of all services that accept requests, can be reached and are not cold. */
@@ -133,6 +143,11 @@
 		return nowMs < entry.coldUntilMs || (failedMs !== undefined && nowMs - failedMs < assumedColdMs);
 	}
 
+	#delete(id: string): void {
+		this.#entries.delete(id);
+		this.#byService = undefined;
+	}
+
 	#isServing(instance: LiveInstance): boolean {
 		return !instance.isDraining && !this.#evacuated.has(instance.zone) && !this.notices.isLeaving(instance);
 	}
@@ -141,3 +156,17 @@
 function isLater(a: LiveInstance, b: LiveInstance): boolean {
 	return a.born === b.born && (a.sequence ?? 0) > (b.sequence ?? 0);
 }
+
+function groupByService(entries: Iterable<Entry>): Map<string, Entry[]> {
+	const groups = new Map<string, Entry[]>();
+	for (const entry of entries) {
+		const group = groups.get(entry.instance.service);
+		if (group === undefined) {
+			groups.set(entry.instance.service, [entry]);
+		} else {
+			group.push(entry);
+		}
+	}
+
+	return groups;
+}
--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -10,7 +10,7 @@
 import {PoolUsage} from './pool-usage.js';
 import {regionCapacities} from './region-capacities.js';
 import {RegionLoads} from './region-loads.js';
-import {rendezvousOrder} from './rendezvous-order.js';
+import {rendezvousFirst} from './rendezvous-first.js';
 import {RouteTimes} from './route-times.js';
 import {scopedObjectKey} from './scoped-object-key.js';
 import {ShiftBudget} from './shift-budget.js';
@@ -500,7 +500,7 @@
 
 /** Returns the first of the instances in the object's rendezvous order, unless its utilization exceeds the lowest one by more than the margin. */
 function preferredInstance(usage: PoolUsage, instances: readonly PlanInstance[], {objectKey}: PlannedObject): PlanInstance | undefined {
-	const [first] = rendezvousOrder(scopedObjectKey.plain(objectKey), instances, instance => instance.id);
+	const first = rendezvousFirst(scopedObjectKey.plain(objectKey), instances, instance => instance.id);
 	const leastUtilized = usage.leastUtilized(instances);
 	if (first === undefined || leastUtilized === undefined) {
 		return undefined;
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -4,7 +4,7 @@
 import {isMostUrgent} from './is-most-urgent.js';
 import {objectId} from './object-id.js';
 import {regionCapacities} from './region-capacities.js';
-import {rendezvousOrder} from './rendezvous-order.js';
+import {rendezvousFirst} from './rendezvous-first.js';
 import {type SeededRandom} from './seeded-random.js';
 import {scopedObjectKey} from './scoped-object-key.js';
 import {initialRegion} from './initial-region.js';
@@ -84,17 +84,25 @@
 	/** Returns the instance to send a request to now. A request that is not expected to end before its deadline is not sent. */
 	choose(req: PlacementRequest, nowMs: number): PlacementChoice {
 		const {table} = this.#options;
-		const inAllowedRegions = table.serving(req.service).filter(entry => req.allowedRegions.length === 0 || req.allowedRegions.includes(entry.region));
+		const assigned = this.#assigned(req, nowMs);
+		if (assigned !== undefined) {
+			const waitMs = this.#waitMs(assigned, nowMs);
+			if (this.#isShortWait(assigned, waitMs, req, nowMs)) {
+				return this.#take(assigned, waitMs, req, nowMs);
+			}
+		}
+
+		const inAllowedRegions = table.serving(req.service).filter(entry => mayRunIn(entry.region, req));
 		const pauses = inAllowedRegions.map(entry => table.notices.pauseMs(entry.instance, nowMs));
 		const allowed = inAllowedRegions.filter((entry, index) => pauses[index] === 0 && !req.avoid.has(entry.instance.id));
-		const preferred = this.#preferred(allowed, req, nowMs);
+		const preferred = assigned ?? this.#preferred(allowed, req, nowMs);
 		if (preferred === undefined) {
 			const pauseMs = Math.min(...pauses);
 			return pauses.length > 0 && pauseMs > 0 ? {kind: 'paused', pauseMs} : {kind: 'none'};
 		}
 
 		const waitMs = this.#waitMs(preferred, nowMs);
-		const excessMs = waitMs - this.#allowedWaitMs({entry: preferred, waitMs}, allowed, req, nowMs);
+		const excessMs = this.#isShortWait(preferred, waitMs, req, nowMs) ? 0 : waitMs - this.#allowedWaitMs({entry: preferred, waitMs}, allowed, req, nowMs);
 		if (excessMs <= 0) {
 			return this.#take(preferred, waitMs, req, nowMs);
 		}
@@ -138,6 +146,11 @@
 		return this.#isNeededByUrgent(entry, allowed, req) ? Math.min(slackMs, maxWaitTargetShare * this.#options.urgentTargetMs(req.service)) : slackMs;
 	}
 
+	/** Returns whether a wait is allowed wherever the request is sent, which saves the search for the instances that more urgent requests need. */
+	#isShortWait(entry: Candidate, waitMs: number, req: PlacementRequest, nowMs: number): boolean {
+		return waitMs <= 0 || waitMs <= Math.min(req.remainingMs - this.#runMs(entry, waitMs, req, nowMs), maxWaitTargetShare * this.#options.urgentTargetMs(req.service));
+	}
+
 	/** Returns whether the instance is intended for more urgent requests than this one, too. */
 	#isNeededByUrgent(entry: Candidate, allowed: readonly Candidate[], req: PlacementRequest): boolean {
 		const [urgent] = this.#options.prioritiesOf(req.service);
@@ -149,14 +162,16 @@
 		return local.length < 2 || !this.#intended(local, req).includes(entry);
 	}
 
-	/** Returns the preferred instance for a request: the one assigned by the planner, or else the first usable one in the object's order. */
-	#preferred(allowed: readonly Candidate[], req: PlacementRequest, nowMs: number): Candidate | undefined {
-		const assigned = req.objectKey === undefined ? undefined : this.#options.assignments.get(objectId(req.service, req.priority, req.objectKey));
-		const planned = allowed.find(entry => entry.instance.id === assigned);
-		if (planned !== undefined && this.#isUsable(planned, req, nowMs)) {
-			return planned;
-		}
+	/** Returns the instance to which the planner assigned a request's object, if it can be used. */
+	#assigned(req: PlacementRequest, nowMs: number): Candidate | undefined {
+		const {table, assignments} = this.#options;
+		const id = req.objectKey === undefined ? undefined : assignments.get(objectId(req.service, req.priority, req.objectKey));
+		const entry = id === undefined || req.avoid.has(id) ? undefined : table.servingOne(id, req.service);
+		return entry !== undefined && mayRunIn(entry.region, req) && table.notices.pauseMs(entry.instance, nowMs) === 0 && this.#isUsable(entry, req, nowMs) ? entry : undefined;
+	}
 
+	/** Returns the preferred instance for a request whose object has no usable assignment: the first usable one in the object's order. */
+	#preferred(allowed: readonly Candidate[], req: PlacementRequest, nowMs: number): Candidate | undefined {
 		const local = allowed.filter(entry => entry.region === this.#options.region);
 		const remote = allowed.filter(entry => entry.region !== this.#options.region);
 		const intended = this.#intended(local, req);
@@ -197,10 +212,15 @@
 	}
 
 	#first(candidates: readonly Candidate[], req: PlacementRequest, nowMs: number): Candidate | undefined {
-		const ordered = this.#ordered(candidates, req.objectKey);
-		const index = ordered.findIndex(entry => this.#isUsable(entry, req, nowMs));
-		const first = ordered[index];
-		return first === undefined || req.objectKey !== undefined ? first : this.#fasterOfTwo(first, ordered.slice(index + 1), req, nowMs);
+		const isUsable = (entry: Candidate) => this.#isUsable(entry, req, nowMs);
+		if (req.objectKey !== undefined) {
+			return rendezvousFirst(scopedObjectKey.plain(req.objectKey), candidates, entry => entry.instance.id, isUsable);
+		}
+
+		const drawn = this.#options.random.sample(candidates, candidates.length);
+		const index = drawn.findIndex(entry => isUsable(entry));
+		const first = drawn[index];
+		return first === undefined ? undefined : this.#fasterOfTwo(first, drawn.slice(index + 1), req, nowMs);
 	}
 
 	/**
@@ -224,12 +244,6 @@
 		return endMs(second) < Math.min(endMs(first), req.targetMs) ? second : first;
 	}
 
-	#ordered(candidates: readonly Candidate[], objectKey: string | undefined): Candidate[] {
-		return objectKey === undefined
-			? this.#options.random.sample(candidates, candidates.length)
-			: rendezvousOrder(scopedObjectKey.plain(objectKey), candidates, entry => entry.instance.id);
-	}
-
 	/**
 	 * Returns whether a request may be sent to an instance: it is reachable and, if it is cold, this host is below its part of
 	 * the rate limit.
@@ -261,3 +275,7 @@
 		return region === this.#options.region ? this.#options.coldShare(instance.id) : 0;
 	}
 }
+
+function mayRunIn(region: string, {allowedRegions}: PlacementRequest): boolean {
+	return allowedRegions.length === 0 || allowedRegions.includes(region);
+}
--- a/src/decisions/region-capacities.ts
+++ b/src/decisions/region-capacities.ts
@@ -2,10 +2,14 @@
 
 /** Returns the numbers of slots and hosts of each region that has instances or hosts; `hosts` are numbers of hosts by region. */
 export function regionCapacities(instances: ReadonlyArray<{readonly region: string; readonly slots: number}>, hosts: ReadonlyMap<string, number>): RegionCapacity[] {
-	const regions = new Set([...instances.map(instance => instance.region), ...hosts.keys()]);
-	return [...regions].map(region => ({
-		region,
-		slots: instances.filter(instance => instance.region === region).reduce((sum, instance) => sum + instance.slots, 0),
-		hosts: hosts.get(region) ?? 0,
-	}));
+	const slotsByRegion = new Map<string, number>();
+	for (const {region, slots} of instances) {
+		slotsByRegion.set(region, (slotsByRegion.get(region) ?? 0) + slots);
+	}
+
+	for (const region of hosts.keys()) {
+		slotsByRegion.set(region, slotsByRegion.get(region) ?? 0);
+	}
+
+	return Array.from(slotsByRegion, ([region, slots]) => ({region, slots, hosts: hosts.get(region) ?? 0}));
 }
