--- a/tools/measure.ts
+++ b/tools/measure.ts
@@ -8,6 +8,7 @@
 import {measurePlacement} from './measure-placement.js';
 import {measurePath} from './measure-path.js';
 import {measureQuotas} from './measure-quotas.js';
+import {measureRequestCost} from './measure-request-cost.js';
 import {measureShift} from './measure-shift.js';
 import {measureStop} from './measure-stop.js';
 
@@ -20,6 +21,7 @@
 	accounts: measureAccounts,
 	flood: async () => measureFlood('leastUrgent'),
 	'urgent-flood': async () => measureFlood('mostUrgent'),
+	'request-cost': async () => measureRequestCost({daemonScript: cli.flags.daemon}),
 	shift: async () => measureShift('overload'),
 	'region-loss': async () => measureShift('loss'),
 	quotas: async () => measureQuotas({seed: cli.flags.seed}),
@@ -37,12 +39,16 @@
 	  --scenario  file of the load; default: examples/placement/small-region.toml
 	  --seed      seed of the play; default: 1
 	  --svg       file for a chart of what callers got by second
+
+	Options of request-cost
+	  --daemon  built daemon of another version to measure; default: the one of this version
 `, {
 	importMeta: import.meta,
 	flags: {
 		scenario: {type: 'string', default: 'examples/placement/small-region.toml'},
 		seed: {type: 'number', default: 1},
 		svg: {type: 'string'},
+		daemon: {type: 'string'},
 	},
 });
 
