Crowd tests: many untrusted clients against a built daemon on a small host

What callers saw: clients that pipeline requests, leave responses unread or stop short of the end of their bodies make a daemon use more memory than its host has; in five of the tests the process ends for lack of heap.

They check that the process lives, that VmHWM stays within the memory of the host, that the descriptors stay within those that are not reserved for files, and that an ordinary request on a new connection is answered while the crowd is connected. They run one file at a time in a vitest project of their own, after all other tests.

--- a/stand-ins/platform-documents.ts
+++ b/stand-ins/platform-documents.ts
@@ -28,7 +28,7 @@
 	withTarget: (targetMs: number) => ({target_latency_ms: targetMs}),
 
 	/** Returns a configuration with its version, its routes and the services that they refer to. */
-	configuration: (version: number, routes: readonly RouteDocument[], services: readonly string[] = [routeDefaults.service]) => ({
+	configuration: (version: number, routes: readonly RouteDocument[], services: readonly string[] = [routeDefaults.service], limits: Readonly<Record<string, number>> = {}) => ({
 		version,
 		resources: [
 			...routes,
@@ -39,7 +39,7 @@
 			})),
 			{
 				resource_kind: 'limits', metadata: {}, spec: {
-					max_header_bytes: 2000, max_body_bytes: 200_000, header_timeout_ms: 1000, idle_timeout_ms: 15_000,
+					max_header_bytes: 2000, max_body_bytes: 200_000, header_timeout_ms: 1000, idle_timeout_ms: 15_000, ...limits,
 				},
 			},
 		],
@@ -47,10 +47,13 @@
 
 	/** Returns the store entry of an instance. */
 	instance: (address: string, {
-		state = 'ready', zone = 'dsm-a', service = routeDefaults.service, sequence = 1, born = 1, coldMs = 0,
-	}: {readonly state?: string; readonly zone?: string; readonly service?: string; readonly sequence?: number; readonly born?: number; readonly coldMs?: number} = {}) => ({
+		state = 'ready', zone = 'dsm-a', service = routeDefaults.service, sequence = 1, born = 1, coldMs = 0, slots = 3,
+	}: {
+		readonly state?: string; readonly zone?: string; readonly service?: string; readonly sequence?: number; readonly born?: number; readonly coldMs?: number;
+		readonly slots?: number;
+	} = {}) => ({
 		address, born, info: {
-			service, version: 'v1', zone, slots: 3,
+			service, version: 'v1', zone, slots,
 		}, status: {state, sequence, cold_remaining_ms: coldMs},
 	}),
 };
--- a/test/steering-settings-text.ts
+++ b/test/steering-settings-text.ts
@@ -4,10 +4,12 @@
 	/** Addresses of daemons from which the items are pulled if the store does not respond at start. */
 	readonly seeds?: readonly string[];
 	readonly logLevel?: 'info' | 'error';
+	/** Fields of the size of the host; without them the settings state no size. */
+	readonly capacity?: Readonly<Record<string, number>>;
 };
 
 /** Returns the settings file of a daemon for published routes at a loopback address, against the store at `store`. */
-export function steeringSettingsText(host: string, store: string, {graceSeconds = 2, seeds = [], logLevel = 'error'}: SettingsOptions): string {
+export function steeringSettingsText(host: string, store: string, {graceSeconds = 2, seeds = [], logLevel = 'error', capacity}: SettingsOptions): string {
 	return `
 seeds = ${JSON.stringify(seeds)}
 [host]
@@ -34,5 +36,6 @@
 unknown_bound = true
 [log]
 level = "${logLevel}"
+${capacity === undefined ? '' : `[capacity]\n${Object.entries(capacity).map(([name, value]) => `${name} = ${value}`).join('\n')}`}
 `;
 }
--- a/tools/child.ts
+++ b/tools/child.ts
@@ -5,6 +5,8 @@
 type ChildOptions = {
 	readonly script: string;
 	readonly args: readonly string[];
+	/** Arguments of Node.js itself, such as limits of memory. */
+	readonly nodeArgs?: readonly string[];
 	/** Environment variables added to those of this process. */
 	readonly env?: Readonly<Record<string, string>>;
 	/** File to which the child's output is appended; without one the output is discarded. */
@@ -34,7 +36,7 @@
 	/** Starts a script with the Node.js executable of this process. */
 	static async start(options: ChildOptions): Promise<Child> {
 		const isLogged = options.logFile !== undefined;
-		const child = spawn(process.execPath, [options.script, ...options.args], {
+		const child = spawn(process.execPath, [...options.nodeArgs ?? [], options.script, ...options.args], {
 			stdio: ['ignore', options.shouldAwaitReady || isLogged ? 'pipe' : 'ignore', isLogged ? 'pipe' : 'ignore'], env: {...process.env, ...options.env},
 		});
 		if (options.logFile !== undefined) {
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -19,17 +19,35 @@
 	return names.length === 0 ? undefined : new RegExp(`^(?!(?:${names.join('|')})$)`);
 }
 
+const common = {
+	testNamePattern: allButKnownRed(),
+	testTimeout: 60_000,
+	hookTimeout: 60_000,
+	pool: 'forks',
+	minWorkers: 1,
+};
+const excluded = ['node_modules/**', 'dist/**'];
+/** Tests that put load on a daemon until its memory or its descriptors would be used up. */
+const crowdTests = 'test/crowds/**/*.test.ts';
+
 const config = {
 	test: {
-		include: ['src/**/*.test.ts', 'platform/**/*.test.ts', 'test/**/*.test.ts'],
-		exclude: ['node_modules/**', 'dist/**'],
-		testNamePattern: allButKnownRed(),
-		testTimeout: 60_000,
-		hookTimeout: 60_000,
-		pool: 'forks',
+		...common,
 		reporters: ['default', new PlainReporter()],
 		maxWorkers: 4,
-		minWorkers: 1,
+		projects: [
+			{
+				test: {
+					...common, name: 'main', include: ['src/**/*.test.ts', 'platform/**/*.test.ts', 'test/**/*.test.ts'], exclude: [...excluded, crowdTests], maxWorkers: 4, sequence: {groupOrder: 0},
+				},
+			},
+			{
+				// One file at a time, and after all others, so that no other load runs beside it.
+				test: {
+					...common, name: 'crowds', include: [crowdTests], exclude: excluded, fileParallelism: false, maxWorkers: 1, testTimeout: 120_000, sequence: {groupOrder: 1},
+				},
+			},
+		],
 	},
 };
 
