Objects that clients make up fill no table, report or plan

What callers saw: nothing by itself, but each request with a new key on a route with affinity added an entry to the host's report, the planner's plan, the update to each host and each host's assignments, for 60 s or for good.

Cause: the tables that are keyed by object keys had no limit, withdrawals were kept for ever, and a key may be as long as a request head.

The settings are in [clients].

--- a/src/config/steering-settings.ts
+++ b/src/config/steering-settings.ts
@@ -32,6 +32,25 @@
 	linkMbps: z.number().positive(),
 });
 
+/** Limits of what the host holds for clients. Those without a default derive from `capacity`. */
+const Clients = z.strictObject({
+	/** Memory that is held for all clients, in megabytes. */
+	budgetMb: z.number().positive().optional(),
+	/** Share of the budget that only connections with little in progress may use, so that ordinary requests are served beside large ones. */
+	reservedShare: z.number().min(0).max(0.9).default(0.25),
+	/** Number of requests of one connection without a complete response from which no more are read. Twice as many as are sent on at once. */
+	maxRequestsAhead: z.int().min(1).default(32),
+	/** Number of open connections of clients. */
+	maxConnections: z.int().min(1).optional(),
+	/** Number of open connections to instances. */
+	maxInstanceConnections: z.int().min(1).optional(),
+	/** Longest wait of a request for memory, in milliseconds: some round trips of others, and shorter than most deadlines. */
+	memoryWaitMs: Milliseconds.default(1000),
+	/** Number of objects whose requests a host reports at a time, and of objects that a region's planner assigns. */
+	maxReportedObjects: z.int().min(1).default(1000),
+	maxPlannedObjects: z.int().min(1).default(4000),
+});
+
 /** Settings of a daemon that serves published routes: identity of the host, addresses to listen at, store, limits of the platform. */
 export const SteeringSettings = z.strictObject({
 	host: z.strictObject({id: Name, region: Name, zone: Name}),
@@ -55,6 +74,7 @@
 	bounds: Bounds.prefault({}),
 	/** Without it, no limit is derived from the size of the host. */
 	capacity: Capacity.optional(),
+	clients: Clients.prefault({}),
 	log: z.strictObject({level: z.enum(['error', 'warn', 'info', 'debug']).default('info')}).prefault({}),
 });
 
--- a/src/decisions/object-assignments.ts
+++ b/src/decisions/object-assignments.ts
@@ -21,22 +21,37 @@
 	firstRunEndedMs: number;
 };
 
+type AssignmentsOptions = {
+	/** Has to exceed that of any earlier planner of the region. */
+	readonly version: number;
+	/** Initial assignments, from object id to instance id. */
+	readonly known: ReadonlyMap<string, string>;
+	/** Number of objects that are kept from one tick to the next. */
+	readonly maxObjects: number;
+};
+
 type AssignmentEntries = Array<[objectId: string, instanceId: string]>;
 
 /** Time without requests after which the assignment of an object is withdrawn. */
 const idleExpiryMs = 60_000;
+/** Share of `maxObjects` that may be added between two ticks. Each new object is sent to all hosts of the region, and so is its withdrawal. */
+const newObjectsShare = 0.25;
 
 /** The instance of each object. Every change has a version, so that a host can be sent just the changes that it lacks. */
 export class ObjectAssignments {
 	readonly #objects = new Map<string, AssignedObject>();
 	/** Version in which the assignment of an object was withdrawn, by the id of the object. */
 	readonly #withdrawnVersions = new Map<string, number>();
+	readonly #maxObjects: number;
+	/** Number of objects that may still be added before the next tick. */
+	#newObjectsLeft: number;
 	#version: number;
 	/** Version of the assignments that were known at the start or adopted since. */
 	#adoptedVersion: number;
 
-	/** `version` has to exceed that of any earlier planner of the region; `known` are the initial assignments, from object id to instance id. */
-	constructor(version: number, known: ReadonlyMap<string, string>, nowMs: number) {
+	constructor({version, known, maxObjects}: AssignmentsOptions, nowMs: number) {
+		this.#maxObjects = maxObjects;
+		this.#newObjectsLeft = Math.ceil(maxObjects * newObjectsShare);
 		this.#version = version;
 		this.#adoptedVersion = version;
 		for (const [id, instanceId] of known) {
@@ -56,9 +71,15 @@
 		return [...this.#objects.values()].filter(object => object.service === service);
 	}
 
-	/** Returns the object of a request; adds one without an instance if there is none. */
-	getOrAdd(service: string, priority: number, objectKey: string, nowMs: number): AssignedObject {
-		return this.#objects.get(objectId(service, priority, objectKey)) ?? this.#add(service, priority, objectKey, nowMs);
+	/** Returns the object of a request; adds one without an instance if there is none, unless too many were added since the latest tick. */
+	getOrAdd(service: string, priority: number, objectKey: string, nowMs: number): AssignedObject | undefined {
+		const object = this.#objects.get(objectId(service, priority, objectKey));
+		if (object !== undefined || this.#newObjectsLeft === 0) {
+			return object;
+		}
+
+		this.#newObjectsLeft--;
+		return this.#add(service, priority, objectKey, nowMs);
 	}
 
 	/** Assigns an object to an instance. */
@@ -93,15 +114,36 @@
 		return [...changed.map((object): AssignmentEntries[number] => [object.id, object.instanceId]), ...withdrawn.map(([id]): AssignmentEntries[number] => [id, ''])];
 	}
 
-	/** Withdraws the assignments of objects that have not been requested for a long time. */
-	withdrawIdle(nowMs: number): void {
+	/** Withdraws the assignments of objects that have not been requested for a long time, and of the least requested ones beyond the limit. */
+	withdrawLeastUsed(nowMs: number): void {
+		this.#newObjectsLeft = Math.ceil(this.#maxObjects * newObjectsShare);
 		for (const object of this.#objects.values()) {
 			if (nowMs - object.demand.lastActiveMs > idleExpiryMs) {
-				this.#version++;
-				this.#objects.delete(object.id);
-				this.#withdrawnVersions.set(object.id, this.#version);
+				this.#withdraw(object);
+			}
+		}
+
+		if (this.#objects.size > this.#maxObjects) {
+			const ranked = [...this.#objects.values()].map(object => ({object, rate: object.demand.requestsPerSecond(nowMs)})).sort((a, b) => b.rate - a.rate);
+			for (const {object} of ranked.slice(this.#maxObjects)) {
+				this.#withdraw(object);
 			}
 		}
+
+		// Hosts ask for changes about each second, so that the oldest withdrawals have reached them.
+		for (const id of this.#withdrawnVersions.keys()) {
+			if (this.#withdrawnVersions.size <= this.#maxObjects) {
+				break;
+			}
+
+			this.#withdrawnVersions.delete(id);
+		}
+	}
+
+	#withdraw(object: AssignedObject): void {
+		this.#version++;
+		this.#objects.delete(object.id);
+		this.#withdrawnVersions.set(object.id, this.#version);
 	}
 
 	#add(service: string, priority: number, objectKey: string, nowMs: number): AssignedObject {
--- a/src/decisions/placement-plan.ts
+++ b/src/decisions/placement-plan.ts
@@ -17,7 +17,7 @@
 import {initialRegion} from './initial-region.js';
 import {UrgentReserve} from './urgent-reserve.js';
 
-type PlannedObject = ReturnType<ObjectAssignments['getOrAdd']>;
+type PlannedObject = NonNullable<ReturnType<ObjectAssignments['getOrAdd']>>;
 
 /** An instance that accepts requests. */
 type PlanInstance = PoolUsage['instances'][number];
@@ -27,6 +27,8 @@
 
 type PlacementPlanOptions = {
 	readonly region: string;
+	/** Number of objects that are assigned. */
+	readonly maxObjects?: number;
 };
 
 /** State of the system for which the plan is updated. */
@@ -41,6 +43,8 @@
 /** Instances that serve the same objects: those reserved for the most urgent requests of a service, or all others of the service. */
 type Pool = {readonly usage: PoolUsage; readonly objects: readonly PlannedObject[]};
 
+/** Number of objects that are assigned by default: ten times those of the largest deployment known. Some steps of a tick take the square of it. */
+const defaultMaxObjects = 4000;
 /** Time after its start in which a plan measures the demand of the objects and adopts earlier assignments, but does not balance load. */
 const learningMs = 3000;
 /** Utilization of an instance from which objects move to another instance if that one's utilization is lower by the margin. */
@@ -92,10 +96,10 @@
 	#usedSlots = new Map<string, number>();
 
 	/** `version` has to exceed that of any earlier plan of the region; `known` are the initial assignments, from object id to instance id. */
-	constructor({region}: PlacementPlanOptions, version: number, known: ReadonlyMap<string, string>, nowMs: number) {
+	constructor({region, maxObjects = defaultMaxObjects}: PlacementPlanOptions, version: number, known: ReadonlyMap<string, string>, nowMs: number) {
 		this.#region = region;
 		this.#regionLoads = new RegionLoads(region);
-		this.#assignments = new ObjectAssignments(version, known, nowMs);
+		this.#assignments = new ObjectAssignments({version, known, maxObjects}, nowMs);
 		this.#startMs = nowMs;
 	}
 
@@ -123,6 +127,10 @@
 
 		for (const [service, route, priority, objectKey, requests, allowedRegions] of report.objects) {
 			const object = this.#assignments.getOrAdd(service, priority, objectKey, nowMs);
+			if (object === undefined) {
+				continue;
+			}
+
 			object.demand.recordRequests(`${service}|${route}`, requests, nowMs);
 			object.allowedRegions = allowedRegions.length > 0 ? allowedRegions : object.allowedRegions;
 		}
@@ -165,7 +173,7 @@
 
 	/** Updates the plan for the instances that accept requests now. */
 	tick({instances, priorities, hosts}: TickInputs, nowMs: number): void {
-		this.#assignments.withdrawIdle(nowMs);
+		this.#assignments.withdrawLeastUsed(nowMs);
 		this.#offers = [];
 		this.#poolLoads = [];
 		this.#usedSlots = new Map();
--- a/src/services/ingress-service.ts
+++ b/src/services/ingress-service.ts
@@ -13,6 +13,7 @@
 import {endMark} from '../decisions/end-mark.js';
 import {RequestPipeline} from '../decisions/request-pipeline.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
+import {boundedObjectKey} from './bounded-object-key.js';
 import {collectResponseBody} from './collect-response-body.js';
 import {disconnectSignal} from './disconnect-signal.js';
 import {listenAt} from './listen-at.js';
@@ -183,8 +184,10 @@
 				return;
 			}
 
+			const info = dialect.readRequest(req.headers);
 			const outcome = await proxy.handle({
-				...dialect.readRequest(req.headers),
+				...info,
+				objectKey: boundedObjectKey(info.objectKey),
 				method: req.method!,
 				host: req.headers.host ?? '',
 				target: req.url!,
--- a/src/services/planner-service.ts
+++ b/src/services/planner-service.ts
@@ -6,6 +6,7 @@
 import {objectId} from '../decisions/object-id.js';
 import {memberKey} from '../decisions/member-key.js';
 import {SlownessEstimator} from '../decisions/slowness-estimator.js';
+import {RequestedObjects} from '../decisions/requested-objects.js';
 import {PlacementPlan} from '../decisions/placement-plan.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
 import {type Logger} from './logger.js';
@@ -31,6 +32,10 @@
 	readonly instances: InstanceTable;
 	readonly steering: Pick<SteeringService, 'priorities' | 'hostsByRegion'>;
 	readonly notices: Pick<NoticeRecorder, 'recordLeaving'>;
+	/** Number of objects in one report. */
+	readonly maxReportedObjects: number;
+	/** Number of objects that the planner assigns. */
+	readonly maxPlannedObjects: number;
 };
 
 type Reservation = {readonly priority: number; readonly instanceIds: ReadonlySet<string>};
@@ -48,13 +53,16 @@
 /** Added to the latest known version when this host becomes planner, so that its plan exceeds any version of the previous planner that is still in transit. */
 const versionStep = 1_000_000;
 
+/** Multiple of the planned objects that a host's assignments may reach: some withdrawals may not have reached it. */
+const staleAssignmentsFactor = 2;
+
 /** Reports the requested objects to the region's planner, and assigns objects to instances while this host is the planner. */
 export class PlannerService {
 	/** Estimates how slow the region's instances are, from this host's requests. */
 	readonly slownessEstimator = new SlownessEstimator();
 	readonly #options: PlannerOptions;
 	readonly #assignments = new Map<string, string>();
-	readonly #requests = new Map<string, ObjectRequest & {count: number}>();
+	readonly #requests: RequestedObjects<ObjectRequest>;
 	readonly #runs = new Map<string, Omit<ObjectRun, 'instanceId'> & {runs: number; totalMs: number}>();
 	readonly #responseTimes = new Map<string, {readonly service: string; readonly route: string; shortestMs: number}>();
 	#reservations: ReadonlyMap<string, Reservation> = new Map();
@@ -70,6 +78,7 @@
 
 	constructor(options: PlannerOptions) {
 		this.#options = options;
+		this.#requests = new RequestedObjects(options.maxReportedObjects);
 	}
 
 	/** Instance ids by object id, as last received from the planner. */
@@ -91,13 +100,8 @@
 
 	/** Records a request for an object, for this host's next report to the planner. */
 	recordRequest(req: ObjectRequest): void {
-		const id = `${objectId(req.service, req.priority, req.objectKey)}|${req.route}`;
-		const entry = this.#requests.get(id);
-		if (entry === undefined) {
-			this.#requests.set(id, {...req, count: 1});
-		} else {
-			entry.count++;
-		}
+		const id = objectId(req.service, req.priority, req.objectKey);
+		this.#requests.add(`${id}|${req.route}`, req, this.#assignments.has(id));
 	}
 
 	/** Records the time of a run that did not wait for a slot; ignored unless it ran at the instance to which its object is assigned. */
@@ -108,6 +112,10 @@
 		}
 
 		const key = `${id}|${route}`;
+		if (this.#runs.size >= this.#options.maxReportedObjects && !this.#runs.has(key)) {
+			return;
+		}
+
 		const entry = this.#runs.get(key) ?? {
 			service, route, priority, objectKey, runs: 0, totalMs: 0,
 		};
@@ -165,9 +173,8 @@
 		}
 
 		this.#ticksSinceReport++;
-		const hasUnassigned = [...this.#requests.values()].some(req => !this.#assignments.has(objectId(req.service, req.priority, req.objectKey)));
 		const hasNotices = instances.leaving().length !== this.#reportedLeaving || instances.paused(clock.nowMs()).length > 0;
-		const isDue = this.#ticksSinceReport >= ticksPerRegularReport || hasUnassigned || hasNotices || this.slownessEstimator.slowInstances(clock.nowMs()).length > 0;
+		const isDue = this.#ticksSinceReport >= ticksPerRegularReport || this.#requests.hasUnassigned || hasNotices || this.slownessEstimator.slowInstances(clock.nowMs()).length > 0;
 		if (!this.#isReporting && isDue) {
 			this.#ticksSinceReport = 0;
 			void this.#report(isPlanner);
@@ -178,7 +185,7 @@
 		if (this.#plan === undefined) {
 			const {members, logger, clock} = this.#options;
 			logger.info('this host plans for its region', {objects: this.#assignments.size, version: this.#version});
-			this.#plan = new PlacementPlan({region: members.membership.self.region}, this.#version + versionStep, this.#assignments, clock.nowMs());
+			this.#plan = new PlacementPlan({region: members.membership.self.region, maxObjects: this.#options.maxPlannedObjects}, this.#version + versionStep, this.#assignments, clock.nowMs());
 		}
 
 		return this.#plan;
@@ -197,9 +204,8 @@
 			known: plannerKey === this.#lastPlannerKey ? [] : [...this.#assignments],
 			routes: [...this.#responseTimes.values()].map(entry => [entry.service, entry.route, Math.round(entry.shortestMs)]),
 			runs: [...this.#runs.values()].map(entry => [entry.service, entry.route, entry.priority, entry.objectKey, Math.round(entry.totalMs / entry.runs)]),
-			objects: [...this.#requests.values()].map(entry => [entry.service, entry.route, entry.priority, entry.objectKey, entry.count, [...entry.allowedRegions]]),
+			objects: this.#requests.take().map(([entry, count]) => [entry.service, entry.route, entry.priority, entry.objectKey, count, [...entry.allowedRegions]]),
 		};
-		this.#requests.clear();
 		this.#responseTimes.clear();
 		this.#runs.clear();
 		this.#isReporting = true;
@@ -232,9 +238,26 @@
 			if (instanceId === '') {
 				this.#assignments.delete(id);
 			} else {
+				// An assignment that was set again is the newest one.
+				this.#assignments.delete(id);
 				this.#assignments.set(id, instanceId);
 			}
 		}
+
+		this.#dropOldestAssignments();
+	}
+
+	/** Bounds the assignments: those of which the planner said nothing for longest may be ones whose withdrawal did not reach this host. */
+	#dropOldestAssignments(): void {
+		let excess = this.#assignments.size - (this.#options.maxPlannedObjects * staleAssignmentsFactor);
+		for (const id of this.#assignments.keys()) {
+			if (excess <= 0) {
+				return;
+			}
+
+			this.#assignments.delete(id);
+			excess--;
+		}
 	}
 
 	async #sendRegionLoad(load: RegionLoad): Promise<void> {
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -230,6 +230,8 @@
 					instances: get('instances'),
 					steering: get('steering'),
 					notices: get('notices'),
+					maxReportedObjects: settings.clients.maxReportedObjects,
+					maxPlannedObjects: settings.clients.maxPlannedObjects,
 				});
 				planner.start(lifecycle);
 				return planner;
--- a/tools/placement-model/model-host.ts
+++ b/tools/placement-model/model-host.ts
@@ -73,7 +73,7 @@
 		};
 		steering.start(lifecycle);
 		this.planner = new PlannerService({
-			clock, logger: silentLogger, metrics: noMetrics, instances, steering, notices,
+			clock, logger: silentLogger, metrics: noMetrics, instances, steering, notices, maxReportedObjects: 1000, maxPlannedObjects: 4000,
 			members: {
 				ownerOf: service => rendezvousOrder(service, own, other => other.id)[0]!,
 				isSelf: other => other.id === member.id,
