Requests are read from clients one at a time, within one budget

What callers saw: clients that pipelined requests and read nothing ended the process for lack of heap, at the clients' port with and without the usual headers, and idle ones used up the descriptors.

Cause: node:http parses and keeps every request of what it receives at once, up to 64 KB, and responses behind an unread one wait in memory; connections had no limit.

A stream between socket and parser passes on one request head at a time. A connection is not read on while 32 of its requests lack a response, while it holds its part of one budget for all clients, or while the budget is used up, less a part reserved for small requests. If that does not suffice, those that hold most are closed. Connections at the clients', directory and readiness ports are bounded by the descriptors; the longest idle one is closed first. The limits derive from [capacity] and are settings in [clients]. Requests that were not started on a connection that is closed do not run.

Pieces of the ingress are in files of their own.

--- a/src/cli/request-history.test.ts
+++ b/src/cli/request-history.test.ts
@@ -39,4 +39,21 @@
 		].join('\n'), 'r1');
 		expect(ending).toBe('the response of i-1 was not delivered whole by edge-1: its deadline expired');
 	});
+
+	describe('of a client that the host protected itself from', () => {
+		const closed = line('2026-01-01T00:00:01Z', 'edge-1', 'the connection of a client was closed to protect this host', {
+			reason: 'memory', heldBytes: 900, allHeldBytes: 1000, connections: 7,
+		});
+		const cancelled = line('2026-01-01T00:00:02Z', 'edge-1', 'request ended without an answer of an instance', {outcome: 'unknown', reason: 'cancelled', tookMs: 9});
+
+		it('tells that the host closed the connection and why, not that the client did', () => {
+			expect(requestHistory([closed, cancelled].join('\n'), 'r1').ending)
+				.toBe('edge-1 closed the connection of the client: the host held too much for its clients, and most for this one (900 of 1000 bytes held, 7 connections); it may have run');
+		});
+
+		it('tells of the later answer if the client sent the request again', () => {
+			const answered = line('2026-01-01T00:00:03Z', 'edge-2', 'request answered late', {status: 200, tookMs: 900, instance: 'i-1'});
+			expect(requestHistory([closed, cancelled, answered].join('\n'), 'r1').ending).toBe('request answered late with status 200 of i-1 by edge-2 after 900 ms');
+		});
+	});
 });
--- a/src/cli/request-history.ts
+++ b/src/cli/request-history.ts
@@ -41,6 +41,15 @@
 	too_large: 'it was too long to be held for a client of HTTP/1.0, which cannot be told otherwise where it ends',
 };
 
+/** Explanation of each reason why the connection of a client was closed. */
+const closingDescriptions: Readonly<Record<string, string>> = {
+	memory: 'the host held too much for its clients, and most for this one',
+	connections: 'the host had too many connections',
+	idle_body: 'nothing of its body arrived for the idle time of the configuration',
+};
+
+const closedMessage = 'the connection of a client was closed to protect this host';
+
 /** Collects the log lines about one request from the logs of all hosts. Text before the JSON object of a line is ignored. */
 export function requestHistory(logs: string, requestId: string): RequestHistory {
 	const lines = logs.split('\n')
@@ -49,7 +58,16 @@
 		.filter(line => line?.request === requestId)
 		.map(line => line!)
 		.toSorted((a, b) => (a.timestamp < b.timestamp ? -1 : 1));
-	return {lines, ending: lines.map(line => describeEnding(line)).findLast(ending => ending !== undefined)};
+	const last = lines.findLast(line => describeEnding(line) !== undefined);
+	const closing = lines.findLast(line => line.message === closedMessage);
+	// A connection that the host closed is one that its requests see closed.
+	const isClosedByHost = closing !== undefined && (last === undefined || (last.reason === 'cancelled' && last.host === closing.host));
+	return {lines, ending: isClosedByHost ? describeClosing(closing) : last && describeEnding(last)};
+}
+
+function describeClosing({host, reason, heldBytes, allHeldBytes, connections}: LogLine): string {
+	const cause = closingDescriptions[String(reason)] ?? String(reason);
+	return `${host} closed the connection of the client: ${cause} (${String(heldBytes)} of ${String(allHeldBytes)} bytes held, ${String(connections)} connections); it may have run`;
 }
 
 function parseLine(line: string): LogLine | undefined {
--- a/src/decisions/request-pipeline.ts
+++ b/src/decisions/request-pipeline.ts
@@ -39,16 +39,16 @@
 	}
 
 	/**
-	 * Resolves with `true` when the request may be sent on: the one before it was started and at most `maxAhead` are ahead of it.
+	 * Resolves with `true` when the request may be sent on: the one before it was started and at most `maxAhead` are ahead of it, or none while `isFull`, since what is held for the connection may not grow.
 	 * Resolves with `false` if the connection closes before.
 	 */
-	async turn(exchange: Exchange, maxAhead: number): Promise<boolean> {
+	async turn(exchange: Exchange, maxAhead: number, isFull: () => boolean = () => false): Promise<boolean> {
 		return new Promise(resolve => {
 			exchange.update = () => {
 				const ahead = this.#exchanges.indexOf(exchange);
 				if (ahead === -1) {
 					resolve(false);
-				} else if (ahead <= maxAhead && this.#exchanges[ahead - 1]?.isStarted !== false) {
+				} else if (ahead <= (isFull() ? 0 : maxAhead) && this.#exchanges[ahead - 1]?.isStarted !== false) {
 					exchange.isStarted = true;
 					resolve(true);
 				}
--- a/src/kernel/registry.ts
+++ b/src/kernel/registry.ts
@@ -30,6 +30,7 @@
 import {type StatusService} from '../services/status-service.js';
 import {type SteeringService} from '../services/steering-service.js';
 import {type StopService} from '../services/stop-service.js';
+import {type ClientGuard} from '../services/uploads/client-guard.js';
 import {type Tracer} from '../services/tracer.js';
 
 /** Types of the daemon's services by the names under which the kernel provides them. */
@@ -67,6 +68,7 @@
 	readonly notices: NoticeRecorder;
 	readonly planner: PlannerService;
 	readonly proxy: ProxyService;
+	readonly clientGuard: ClientGuard;
 	readonly ingress: IngressService;
 	readonly directory: DirectoryService;
 	readonly readiness: Readiness;
--- a/src/services/ingress-service.ts
+++ b/src/services/ingress-service.ts
@@ -9,13 +9,15 @@
 import {type Clock} from '../contracts/clock.js';
 import {type HttpDialect} from '../contracts/http-dialect.js';
 import {type RouteTable} from '../contracts/route-table.js';
-import {ByteBudget} from '../decisions/byte-budget.js';
+import {type ByteBudget} from '../decisions/byte-budget.js';
 import {endMark} from '../decisions/end-mark.js';
 import {RequestPipeline} from '../decisions/request-pipeline.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
 import {boundedObjectKey} from './bounded-object-key.js';
 import {collectResponseBody} from './collect-response-body.js';
 import {disconnectSignal} from './disconnect-signal.js';
+import {errorResponse} from './error-response.js';
+import {headBytes} from './head-bytes.js';
 import {listenAt} from './listen-at.js';
 import {type Logger} from './logger.js';
 import {type Metrics} from './metrics.js';
@@ -23,6 +25,10 @@
 import {type ProxyService} from './proxy-service.js';
 import {readRequestBody} from './read-request-body.js';
 import {statusOfParseError} from './status-of-parse-error.js';
+import {type ClientGuard} from './uploads/client-guard.js';
+import {type RequestMemory} from './uploads/request-memory.js';
+import {waitForDrain} from './wait-for-drain.js';
+import {withContentLength} from './with-content-length.js';
 
 type IngressOptions = {
 	/** IPv4 address and port. */
@@ -32,12 +38,16 @@
 	readonly metrics: Pick<Metrics, 'count'>;
 	readonly dialect: HttpDialect;
 	readonly proxy: ProxyService;
+	readonly guard: ClientGuard;
+	/** Memory of the responses that are held until they are whole, for clients that cannot be told otherwise where they end. */
+	readonly heldBytes: ByteBudget;
 };
 
 type Limits = RouteTable['limits'];
 type ServedRequest = {
 	readonly req: IncomingMessage;
 	readonly res: ServerResponse;
+	readonly memory: RequestMemory;
 	readonly pipeline: RequestPipeline;
 	readonly exchange: NonNullable<ReturnType<RequestPipeline['add']>>;
 };
@@ -51,8 +61,6 @@
 const connectionCheckMs = 1000;
 /** Limit of connections that wait to be accepted. */
 const maxWaitingConnections = 1024;
-/** Limits of the responses that are held until they are whole, for clients that cannot be told otherwise where they end. */
-const heldBytesLimits = {totalBytes: 33_554_432, reservationBytes: 8_388_608};
 /** Limits until the first configuration arrives. */
 const initialLimits: Limits = {
 	maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 5000, idleTimeoutMs: 15_000,
@@ -67,7 +75,6 @@
 	readonly #options: IngressOptions;
 	readonly #server: Server;
 	readonly #pipelines = new Map<Duplex, RequestPipeline>();
-	readonly #heldBytes = new ByteBudget(heldBytesLimits);
 	#limits = initialLimits;
 	#phase: 'serving' | 'closing' | 'refusing' | 'closed' = 'serving';
 
@@ -81,6 +88,7 @@
 		this.#server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
 			this.#handleClientError(err, socket);
 		});
+		options.guard.protect(this.#server);
 		this.setLimits(initialLimits);
 	}
 
@@ -98,6 +106,7 @@
 		this.#limits = limits;
 		this.#server.headersTimeout = limits.headerTimeoutMs;
 		this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+		this.#options.guard.setIdleBodyMs(limits.idleTimeoutMs);
 	}
 
 	/** Closes each connection after its next response, which announces this to the client. */
@@ -122,14 +131,16 @@
 			return;
 		}
 
+		const memory = this.#options.guard.memoryOf(req);
 		res.once('close', () => {
+			memory.release();
 			pipeline.end(exchange);
 			if (pipeline.isAbandoned) {
 				socket.destroySoon();
 			}
 		});
 		void this.#serve({
-			req, res, pipeline, exchange,
+			req, res, memory, pipeline, exchange,
 		});
 	}
 
@@ -169,13 +180,13 @@
 	}
 
 	async #serve(served: ServedRequest): Promise<void> {
-		const {req, res, pipeline, exchange} = served;
+		const {req, res, memory, pipeline, exchange} = served;
 		const {clock, dialect, proxy, logger} = this.#options;
 		const arrivedMs = clock.nowMs();
 		const disconnect = disconnectSignal(req, res);
 		try {
 			if (this.#phase === 'refusing') {
-				this.#sendErrorStatus(served, {kind: 'not_run', reason: 'stopping', retryAfterMs: 0});
+				this.#sendResponse(served, errorResponse({kind: 'not_run', reason: 'stopping', retryAfterMs: 0}));
 				return;
 			}
 
@@ -194,7 +205,7 @@
 				headers: req.rawHeaders,
 				arrivedMs,
 				readBody: async maxBytes => readRequestBody(req, maxBytes, this.#limits.maxBodyBytes),
-				waitForTurn: async maxAhead => pipeline.turn(exchange, maxAhead),
+				waitForTurn: async maxAhead => pipeline.turn(exchange, maxAhead, () => memory.isFull),
 				disconnect,
 			});
 			if (pipeline.isLeftOut(exchange)) {
@@ -209,7 +220,7 @@
 				});
 				await this.#sendInstanceResponse(served, outcome);
 			} else {
-				this.#sendErrorStatus(served, outcome);
+				this.#sendResponse(served, errorResponse(outcome));
 			}
 		} catch (err) {
 			logger.error('handling a request failed; the client receives status 502 or a closed connection', {err: err instanceof Error ? err.stack ?? err.message : String(err)});
@@ -275,10 +286,14 @@
 
 	/** Forwards a response with its length when it is whole, or a failure in its place. */
 	async #sendOnceWhole(served: ServedRequest, outcome: AnswerOutcome, {status, start, rest}: PartialResult, headers: readonly string[]): Promise<void> {
-		const memory = this.#heldBytes.reserve();
-		served.res.once('close', memory.release);
-		served.req.socket.once('close', memory.release);
-		const body = await collectResponseBody(start, rest, memory.grow);
+		const reservation = this.#options.heldBytes.reserve();
+		served.res.once('close', reservation.release);
+		served.req.socket.once('close', reservation.release);
+		const body = await collectResponseBody(start, rest, bytes => {
+			const isReserved = reservation.grow(bytes);
+			served.memory.hold(isReserved ? bytes : 0);
+			return isReserved;
+		});
 		if (body.success) {
 			this.#sendResponse(served, {status, headers, body: body.data});
 			return;
@@ -304,25 +319,6 @@
 		}, 'warn');
 	}
 
-	#sendErrorStatus(served: ServedRequest, outcome: Exclude<ProxyOutcome, AnswerOutcome>): void {
-		switch (outcome.kind) {
-			case 'not_run': {
-				this.#sendResponse(served, {status: 503, headers: ['Retry-After', (outcome.retryAfterMs / 1000).toFixed(2)]});
-				break;
-			}
-
-			case 'unknown': {
-				this.#sendResponse(served, {status: outcome.reason === 'timeout' ? 504 : 502, headers: []});
-				break;
-			}
-
-			case 'invalid': {
-				this.#sendResponse(served, {status: statusOfInvalid(outcome.reason), headers: []});
-				break;
-			}
-		}
-	}
-
 	#sendResponse(served: ServedRequest, {status, headers, body}: PlainResponse): void {
 		const {res} = served;
 		this.#prepareResponse(served);
@@ -344,53 +340,3 @@
 		}
 	}
 }
-
-/** Returns the size of a request's head in bytes as it was sent, without the blank line. */
-function headBytes(req: IncomingMessage): number {
-	let size = req.method!.length + req.url!.length + 12;
-	for (const text of req.rawHeaders) {
-		size += text.length + 2;
-	}
-
-	return size;
-}
-
-/** Adds the `Content-Length` header of the instance's response, if it has one. */
-function withContentLength(headers: readonly string[], instanceHeaders: readonly string[]): string[] {
-	const length = rawHeader(instanceHeaders, 'content-length');
-	return length === undefined ? [...headers] : [...headers, 'Content-Length', length];
-}
-
-function statusOfInvalid(reason: Extract<ProxyOutcome, {kind: 'invalid'}>['reason']): number {
-	switch (reason) {
-		case 'no_route': {
-			return 404;
-		}
-
-		case 'no_request_id':
-		case 'broken_off': {
-			return 400;
-		}
-
-		case 'body_too_large': {
-			return 413;
-		}
-	}
-}
-
-async function waitForDrain(res: ServerResponse): Promise<void> {
-	return new Promise((resolve, reject) => {
-		const settle = () => {
-			res.off('drain', settle);
-			res.off('close', settle);
-			if (res.destroyed) {
-				reject(new BrokenOffError('cancelled', 'the client closed the connection'));
-			} else {
-				resolve();
-			}
-		};
-
-		res.on('drain', settle);
-		res.on('close', settle);
-	});
-}
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -1,4 +1,5 @@
 import {randomBytes} from 'node:crypto';
+import {getHeapStatistics} from 'node:v8';
 import {InstanceClient} from './adapters/instance-client.js';
 import {monotonicClock} from './adapters/monotonic-clock.js';
 import {type SteeringSettings} from './config/steering-settings.js';
@@ -8,6 +9,9 @@
 import {type Member} from './contracts/member.js';
 import {type PrefixStore} from './contracts/prefix-store.js';
 import {type SteeringItemCodec} from './contracts/steering-item-codec.js';
+import {ByteBudget} from './decisions/byte-budget.js';
+import {ClientBudget} from './decisions/client-budget.js';
+import {clientLimits} from './decisions/client-limits.js';
 import {coldShare} from './decisions/cold-share.js';
 import {ColdRateLimiter} from './decisions/cold-rate-limiter.js';
 import {RevisionTracker} from './decisions/revision-tracker.js';
@@ -42,6 +46,7 @@
 import {AttemptObserver} from './services/attempt-observer.js';
 import {StatusService} from './services/status-service.js';
 import {StopService} from './services/stop-service.js';
+import {ClientGuard} from './services/uploads/client-guard.js';
 
 /** Interfaces of the operators' platform: its store, the items in it, and its HTTP headers. */
 type SteeringPlatform = {
@@ -80,6 +85,7 @@
 /** Responses of instances up to this size are buffered completely before they are forwarded. */
 const maxBufferedResponseBytes = 262_144;
 const receiveTimeoutMs = 5000;
+const bytesPerMb = 1_048_576;
 
 /** Creates the kernel with the services of a daemon that serves published routes; starting the kernel starts them. */
 export function createSteeringDaemon({settings, platform}: SteeringDaemonOptions): Kernel {
@@ -212,7 +218,24 @@
 
 function addRequestPath(kernel: Kernel, settings: SteeringSettings, platform: SteeringPlatform, seed: number): void {
 	const {bounds} = settings;
+	const limits = clientLimits(settings.clients, settings.capacity, getHeapStatistics().heap_size_limit / bytesPerMb);
 	kernel
+		.add({
+			name: 'clientGuard', requires: ['clock', 'logger', 'metrics'], start({get, lifecycle}) {
+				const {maxRequestsAhead, memoryWaitMs} = settings.clients;
+				const guard = new ClientGuard({
+					clock: get('clock'),
+					logger: get('logger'),
+					metrics: get('metrics'),
+					budget: new ClientBudget(limits),
+					requestIdOf: headers => platform.dialect.readRequest(headers).requestId,
+					maxRequestsAhead,
+					memoryWaitMs,
+				});
+				guard.start(lifecycle);
+				return guard;
+			},
+		})
 		.add({
 			name: 'notices', requires: ['clock', 'logger', 'metrics', 'instances'],
 			start: ({get}) => new NoticeRecorder({
@@ -297,9 +320,16 @@
 			},
 		})
 		.add({
-			name: 'ingress', requires: ['clock', 'logger', 'metrics', 'proxy', 'steering'], async start({get, lifecycle}) {
+			name: 'ingress', requires: ['clock', 'logger', 'metrics', 'proxy', 'steering', 'clientGuard'], async start({get, lifecycle}) {
 				const ingress = new IngressService({
-					address: settings.listen.clients, clock: get('clock'), logger: get('logger'), metrics: get('metrics'), dialect: platform.dialect, proxy: get('proxy'),
+					address: settings.listen.clients,
+					clock: get('clock'),
+					logger: get('logger'),
+					metrics: get('metrics'),
+					dialect: platform.dialect,
+					proxy: get('proxy'),
+					guard: get('clientGuard'),
+					heldBytes: new ByteBudget(limits.heldResponses),
 				});
 				get('steering').onRoutes(({limits}) => {
 					ingress.setLimits(limits);
--- a/test/crowds/ordinary-clients.test.ts
+++ b/test/crowds/ordinary-clients.test.ts
@@ -20,12 +20,15 @@
 		await host.close();
 	});
 
-	it('that uploads as much as a body may have', async () => {
+	it.each([
+		['with a length', 'upload', {'content-length': String(64 * 1_048_576)}],
+		['in chunks', 'upload-chunks', {'transfer-encoding': 'chunked'}],
+	] as const)('that uploads as much as a body may have, %s', async (_name, id, framing) => {
 		const piece = Buffer.alloc(1_048_576, 'u');
 		const status = await new Promise<number | undefined>((resolve, reject) => {
 			const req = httpRequest({
 				host: host.address, port: host.ports.clients, path: '/write/upload', method: 'POST', agent: false, headers: {
-					host: 'shop.example', 'x-request-id': 'upload', 'x-deadline-ms': '30000', 'content-length': String(64 * piece.length),
+					host: 'shop.example', 'x-request-id': id, 'x-deadline-ms': '30000', ...framing,
 				},
 			}, res => {
 				res.resume().on('close', () => {
@@ -39,7 +42,7 @@
 			req.end();
 		});
 		expect(status).toBe(200);
-		expect(host.instances.map(instance => instance.bodyBytesById.get('upload')).filter(bytes => bytes !== undefined)).toEqual([64 * piece.length]);
+		expect(host.instances.map(instance => instance.bodyBytesById.get(id)).filter(bytes => bytes !== undefined)).toEqual([64 * piece.length]);
 	});
 
 	it('that pipelines many repeatable requests and reads the responses, each of which arrives, in order', async () => {
--- a/test/crowds/pipelining-crowds.test.ts
+++ b/test/crowds/pipelining-crowds.test.ts
@@ -53,4 +53,9 @@
 		await pipeline((connection, request) => `GET /read/x HTTP/1.1\r\n${headers(connection, request, `X-Affinity-Key: ${key}${connection}-${request}\r\n`)}`);
 		expect(await host.report()).toEqual(goodReport);
 	});
+
+	it('that the parser refuses by itself behind one that runs, so that responses which no service counts may not be kept without a bound', async () => {
+		await pipeline((connection, request) => (request === 0 ? `GET /read/size-4000000 HTTP/1.1\r\n${headers(connection, request)}` : 'GET /read/x HTTP/1.1\r\n\r\n'.repeat(20)));
+		expect(await host.report()).toEqual(goodReport);
+	});
 });
