--- a/src/cli/request-history.ts
+++ b/src/cli/request-history.ts
@@ -23,6 +23,7 @@
 	timeout: 'its deadline expired',
 	quarantined: 'requests with its fingerprint crashed two instances',
 	stopping: 'the host was in a planned stop',
+	no_memory: 'the host held as much for its clients as it may; see "the connection of a client was closed to protect this host" of these seconds',
 	lost: 'the connection to the instance was lost after it was sent; it may have run',
 	broken: 'the response of the instance was invalid; it may have run',
 	cancelled: 'the client closed its connection',
--- a/src/services/ingress-service.ts
+++ b/src/services/ingress-service.ts
@@ -61,6 +61,8 @@
 const connectionCheckMs = 1000;
 /** Limit of connections that wait to be accepted. */
 const maxWaitingConnections = 1024;
+/** Memory that is held for a request while an instance may respond to it: what the HTTP client reads at once. */
+const inFlightBytes = 32_768;
 /** Limits until the first configuration arrives. */
 const initialLimits: Limits = {
 	maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 5000, idleTimeoutMs: 15_000,
@@ -204,7 +206,9 @@
 				target: req.url!,
 				headers: req.rawHeaders,
 				arrivedMs,
-				readBody: async maxBytes => readRequestBody(req, maxBytes, this.#limits.maxBodyBytes),
+				readBody: async maxBufferedBytes => (await memory.admit(inFlightBytes)
+					? readRequestBody(req, {maxBufferedBytes, maxBodyBytes: this.#limits.maxBodyBytes, memory})
+					: {kind: 'no_memory'}),
 				waitForTurn: async maxAhead => pipeline.turn(exchange, maxAhead, () => memory.isFull),
 				disconnect,
 			});
--- a/src/services/proxy-outcome.ts
+++ b/src/services/proxy-outcome.ts
@@ -13,7 +13,11 @@
 		readonly failedSends: number;
 	}
 	/** The request did not run and will not run later. */
-	| {readonly kind: 'not_run'; readonly reason: 'not_ready' | 'no_upstream' | 'busy' | 'paused' | 'shed' | 'retry_budget' | 'timeout' | 'quarantined' | 'stopping'; readonly retryAfterMs: number}
+	| {
+		readonly kind: 'not_run';
+		readonly reason: 'not_ready' | 'no_upstream' | 'busy' | 'paused' | 'shed' | 'retry_budget' | 'timeout' | 'quarantined' | 'stopping' | 'no_memory';
+		readonly retryAfterMs: number;
+	}
 	/** The request may have run. */
 	| {readonly kind: 'unknown'; readonly reason: 'timeout' | 'lost' | 'broken' | 'cancelled'}
 	/** The request itself is invalid. */
--- a/src/services/proxy-request.ts
+++ b/src/services/proxy-request.ts
@@ -23,5 +23,7 @@
 	| {readonly kind: 'whole'; readonly bytes: Uint8Array}
 	| {readonly kind: 'stream'; readonly source: AsyncIterable<Uint8Array>}
 	| {readonly kind: 'too_large'}
+	/** The host holds as much for its clients as it may. */
+	| {readonly kind: 'no_memory'}
 	/** The client closed the connection before the end of the body. */
 	| {readonly kind: 'broken'};
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -70,6 +70,7 @@
 /** Up to this share of the time is added at random, so that clients do not retry all at once. */
 const retryJitterShare = 0.5;
 const quarantinedRetryAfterMs = 60_000;
+const noMemoryRetryAfterMs = 1000;
 
 /** Forwards clients' requests for published routes to instances, retries them within bounds, and returns their outcomes. */
 export class ProxyService {
@@ -151,6 +152,10 @@
 			return {kind: 'invalid', reason: 'body_too_large'};
 		}
 
+		if (body.kind === 'no_memory') {
+			return {kind: 'not_run', reason: 'no_memory', retryAfterMs: noMemoryRetryAfterMs};
+		}
+
 		if (body.kind === 'broken') {
 			return {kind: 'invalid', reason: 'broken_off'};
 		}
