Responses count in the budget, and are passed on early when it is used up

What callers saw: clients that ask for large responses and read none ended the process.

Cause: up to 256 KB of each response are kept before it is passed on, for 16 requests of a connection at a time, whether or not the client reads.

What is kept of a response counts for its connection. Where no room is left, the response is passed on as it arrives, at the speed of the client; its end is marked as before.

--- a/src/adapters/instance-client.ts
+++ b/src/adapters/instance-client.ts
@@ -113,7 +113,7 @@
 				return {kind: 'not_run', ...head};
 			}
 
-			const start = await readStart(source, this.#options.maxBufferedResponseBytes);
+			const start = await readStart(source, this.#options.maxBufferedResponseBytes, call.tryHold);
 			const framing = framingOf(head.headers);
 			if (!start.isEnded) {
 				isScopeHandedOver = true;
@@ -261,11 +261,11 @@
 	return rawHeader(headers, 'content-encoding') === undefined ? undefined : 'the response has a content encoding that was not requested';
 }
 
-/** Reads until the end, or until more than `limit` bytes are buffered. */
-async function readStart(source: AsyncIterator<Uint8Array, unknown>, limit: number): Promise<{readonly bytes: Uint8Array; readonly isEnded: boolean}> {
+/** Reads until the end, or until more than `limit` bytes are buffered or there is no room for more. */
+async function readStart(source: AsyncIterator<Uint8Array, unknown>, limit: number, tryHold: InstanceCall['tryHold'] = () => true): Promise<{readonly bytes: Uint8Array; readonly isEnded: boolean}> {
 	const chunks: Uint8Array[] = [];
 	let size = 0;
-	while (size <= limit) {
+	for (let hasRoom = true; hasRoom && size <= limit;) {
 		const next = await source.next();
 		if (next.done === true) {
 			return {bytes: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks), isEnded: true};
@@ -273,6 +273,7 @@
 
 		chunks.push(next.value);
 		size += next.value.byteLength;
+		hasRoom = tryHold(next.value.byteLength);
 	}
 
 	return {bytes: Buffer.concat(chunks), isEnded: false};
--- a/src/contracts/instance-call.ts
+++ b/src/contracts/instance-call.ts
@@ -18,4 +18,6 @@
 	readonly onHead: (info: ReturnType<HttpDialect['readResponse']>) => void;
 	/** Aborted when the client closes its connection. */
 	readonly disconnect: AbortSignal;
+	/** Records that more bytes of the response are buffered; returns whether there is room for more. Without it there always is. */
+	readonly tryHold?: ((bytes: number) => boolean) | undefined;
 };
--- a/src/services/ingress-service.ts
+++ b/src/services/ingress-service.ts
@@ -210,6 +210,7 @@
 					? readRequestBody(req, {maxBufferedBytes, maxBodyBytes: this.#limits.maxBodyBytes, memory})
 					: {kind: 'no_memory'}),
 				waitForTurn: async maxAhead => pipeline.turn(exchange, maxAhead, () => memory.isFull),
+				tryHold: bytes => memory.tryHold(bytes),
 				disconnect,
 			});
 			if (pipeline.isLeftOut(exchange)) {
--- a/src/services/proxy-request.ts
+++ b/src/services/proxy-request.ts
@@ -12,6 +12,8 @@
 	readonly arrivedMs: number;
 	/** Reads the body: as one buffer up to `maxBytes`, otherwise as a stream of the whole body. */
 	readonly readBody: (maxBytes: number) => Promise<ProxyBody>;
+	/** Records that more bytes of a response are held for the client; returns whether there is room for more. Without it there always is. */
+	readonly tryHold?: ((bytes: number) => boolean) | undefined;
 	/** Resolves with `true` when at most `maxAhead` requests that the client sent before this one have no response yet; with `false` if there will be no response to this one. */
 	readonly waitForTurn: (maxAhead: number) => Promise<boolean>;
 	/** Aborted when the client closes the connection. */
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -281,6 +281,7 @@
 				notices.recordHead(entry.instance, info);
 			},
 			disconnect: req.disconnect,
+			tryHold: req.tryHold,
 		});
 		const tookMs = recordEnd(result);
 		this.#updateCrashReports(context, id, result);
