Connections to instances are bounded by the descriptors of the host

What callers saw: clients that ask for large responses and read none made the host open more connections to instances than it has descriptors.

Cause: connections to one instance had a limit, those to all together none.

Beyond it an idle connection to another instance is closed; without one the send counts as not sent.

--- a/src/adapters/connection-pool.ts
+++ b/src/adapters/connection-pool.ts
@@ -26,6 +26,8 @@
 	readonly exchangeLimitMs: number;
 	/** Limit of connections open at the same time. */
 	readonly maxConnections: number;
+	/** Returns whether another connection may be opened, considering those to other addresses. */
+	readonly mayOpen?: () => boolean;
 };
 
 /**
@@ -91,6 +93,16 @@
 		this.#closeWhere(conn => (conn.lastReceivedMs ?? 0) < oldestMs);
 	}
 
+	/** Closes the connection that has been idle for the longest time; returns whether there was one. */
+	closeOldestIdle(): boolean {
+		const conn = this.#idle.shift();
+		if (conn !== undefined) {
+			destroyIgnoringErrors(conn.client);
+		}
+
+		return conn !== undefined;
+	}
+
 	/** Closes all connections, including those with an exchange. */
 	close(): void {
 		this.#closeWhere(() => true);
@@ -110,7 +122,7 @@
 	}
 
 	#open(): Connection | undefined {
-		if (this.size >= this.#options.maxConnections) {
+		if (this.size >= this.#options.maxConnections || this.#options.mayOpen?.() === false) {
 			return undefined;
 		}
 
--- a/src/adapters/instance-client.ts
+++ b/src/adapters/instance-client.ts
@@ -18,6 +18,8 @@
 	readonly dialect: HttpDialect;
 	/** Limit of connections to one instance. */
 	readonly maxConnections: number;
+	/** Limit of connections to all instances together; unlimited by default. */
+	readonly maxTotalConnections?: number;
 	/** Size up to which a response body is buffered; a longer body is streamed. */
 	readonly maxBufferedResponseBytes: number;
 };
@@ -59,7 +61,7 @@
 		this.#droppedNames = new Set([...perConnectionNames, ...options.dialect.replacedHeaders]);
 		this.#droppedNamesWithLength = new Set([...this.#droppedNames, 'content-length']);
 		this.#pools = new PoolSet({
-			clock: options.clock, idleLimitMs, connectTimeoutMs, exchangeLimitMs, maxConnections: options.maxConnections,
+			clock: options.clock, idleLimitMs, connectTimeoutMs, exchangeLimitMs, maxConnections: options.maxConnections, maxTotalConnections: options.maxTotalConnections ?? Number.POSITIVE_INFINITY,
 		});
 	}
 
--- a/src/adapters/pool-set.ts
+++ b/src/adapters/pool-set.ts
@@ -8,6 +8,8 @@
 	readonly connectTimeoutMs: number;
 	readonly exchangeLimitMs: number;
 	readonly maxConnections: number;
+	/** Limit of connections to all addresses together; unlimited by default. */
+	readonly maxTotalConnections?: number;
 };
 
 /** Connection pools by address. */
@@ -33,7 +35,7 @@
 	get(address: string): ConnectionPool {
 		let pool = this.#pools.get(address);
 		if (pool === undefined) {
-			pool = new ConnectionPool({...this.#options, address});
+			pool = new ConnectionPool({...this.#options, address, mayOpen: () => this.#mayOpen()});
 			this.#pools.set(address, pool);
 		}
 
@@ -56,4 +58,20 @@
 			pool.close();
 		}
 	}
+
+	/** Returns whether another connection may be opened; closes an idle one to another address if that makes room. */
+	#mayOpen(): boolean {
+		const {maxTotalConnections = Number.POSITIVE_INFINITY} = this.#options;
+		if (maxTotalConnections === Number.POSITIVE_INFINITY || this.size < maxTotalConnections) {
+			return true;
+		}
+
+		for (const pool of this.#pools.values()) {
+			if (pool.closeOldestIdle()) {
+				return true;
+			}
+		}
+
+		return false;
+	}
 }
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -263,7 +263,7 @@
 		.add({
 			name: 'instanceClient', requires: ['clock', 'metrics'], start({get, lifecycle}) {
 				const client = new InstanceClient({
-					clock: get('clock'), dialect: platform.dialect, maxConnections: maxInstanceConnections, maxBufferedResponseBytes,
+					clock: get('clock'), dialect: platform.dialect, maxConnections: maxInstanceConnections, maxTotalConnections: limits.maxInstanceConnections, maxBufferedResponseBytes,
 				});
 				get('metrics').gauge('instance_connections', () => client.connections);
 				lifecycle.every('sweep', sweepMs, () => {
