--- a/src/adapters/connection-pool.ts
+++ b/src/adapters/connection-pool.ts
@@ -30,6 +30,8 @@
 	readonly exchangeLimitMs: number;
 	/** Limit of connections open at the same time. */
 	readonly maxConnections: number;
+	/** Returns whether another connection may be opened, considering those to other addresses. */
+	readonly mayOpen?: () => boolean;
 };
 
 /**
@@ -126,6 +128,16 @@
 		this.closeLongIdle();
 	}
 
+	/** Closes the connection that has been idle for the longest time; returns whether there was one. */
+	closeOldestIdle(): boolean {
+		const conn = this.#idle.shift();
+		if (conn !== undefined) {
+			destroyIgnoringErrors(conn.client);
+		}
+
+		return conn !== undefined;
+	}
+
 	/** Closes all connections, including those with an exchange. */
 	close(): void {
 		this.#closeWhere(() => true);
@@ -149,7 +161,7 @@
 	}
 
 	#open(): Connection | undefined {
-		if (this.size >= this.#options.maxConnections) {
+		if (this.size >= this.#options.maxConnections || this.#options.mayOpen?.() === false) {
 			return undefined;
 		}
 
--- a/src/services/proxy-request.ts
+++ b/src/services/proxy-request.ts
@@ -12,6 +12,8 @@
 	readonly arrivedMs: number;
 	/** Reads the body: as one buffer up to `maxBytes`, otherwise as a stream of the whole body. */
 	readonly readBody: (maxBytes: number) => Promise<ProxyBody>;
+	/** Records that more bytes of a response are held for the client; returns whether there is room for more. Without it there always is. */
+	readonly tryHold?: ((bytes: number) => boolean) | undefined;
 	/** Resolves with `true` when at most `maxAhead` requests that the client sent before this one have no response yet; with `false` if there will be no response to this one. */
 	readonly waitForTurn: (maxAhead: number) => Promise<boolean>;
 	/** Aborted when the client closes the connection. */
@@ -23,5 +25,7 @@
 	| {readonly kind: 'whole'; readonly bytes: Uint8Array}
 	| {readonly kind: 'stream'; readonly source: AsyncIterable<Uint8Array>}
 	| {readonly kind: 'too_large'}
+	/** The host holds as much for its clients as it may. */
+	| {readonly kind: 'no_memory'}
 	/** The client closed the connection before the end of the body. */
 	| {readonly kind: 'broken'};
--- a/test/steering-daemon.test.ts
+++ b/test/steering-daemon.test.ts
@@ -481,7 +481,11 @@
 
 		it('learn each other\'s size from the store and how busy each is by gossip, and name a small host to fewer clients', async () => {
 			const cpuShares = [0.1, 0.5, 0.5, 0.7];
-			const others = await Promise.all(cpuShares.map(async cpuShare => startSteeringDaemon(storeAddress, {cpuShare})));
+			const others = await Promise.all(cpuShares.map(async cpuShare => startSteeringDaemon(storeAddress, {
+				capacity: {
+					cpuShare, cores: 2, memoryMb: 400, maxDescriptors: 2069, linkMbps: 70,
+				},
+			})));
 			const [small, last] = [others[0]!, others.at(-1)!];
 			const directory = last.kernel.get('directory');
 			const countNamed = (host: string) => Array.from({length: 200}, (_, index) => directory.resolve('dsm-a', `10.0.0.${index}`).addresses)
