Quotas: as many slots as hold a whole token each, by the settings; figures

Under a tolerance below 20 a slot of a small quota held less than one token, and its host could neither serve nor lend: a trial with a depth of 15.5 tokens in 16 slots served nothing at one host of 32. At high rates under tight bounds the time by which uses are merged was counted beyond the excess; it is now a tenth of a loan's life at most.

--- a/src/decisions/quota-limits.ts
+++ b/src/decisions/quota-limits.ts
@@ -29,6 +29,7 @@
 const loanShareOfExcess = 0.5;
 /** Tokens that leave a bucket within this time are kept in mind together. */
 const mergeMs = 10;
+const mergeShare = 0.1;
 /** Longer loans need fewer calls, but hosts that no longer need their tokens hold them for as long. */
 const maxLoanMs = 500;
 
@@ -41,7 +42,7 @@
 	const ratePerMs = ratePerSecond / 1000;
 	const excess = usedShareOfExcess * ((quotaOverage * ((ratePerMs * quotaWindowMs) + burst)) + quotaTolerance);
 	const loanMs = Math.min(maxLoanMs, loanShareOfExcess * excess / ratePerMs);
-	const outsideMs = loanMs + mergeMs;
+	const outsideMs = loanMs + Math.min(mergeMs, mergeShare * loanMs);
 	// A bucket below one token would serve nothing under a bound without any excess.
 	return {
 		ratePerMs, loanMs, outsideMs, depth: Math.max(1, burst + excess - (ratePerMs * outsideMs)),
--- a/src/services/quotas/add-quotas.ts
+++ b/src/services/quotas/add-quotas.ts
@@ -1,18 +1,17 @@
 import {type SteeringSettings} from '../../config/steering-settings.js';
 import {type SteeringItemCodec} from '../../contracts/steering-item-codec.js';
 import {QuotaShare} from '../../decisions/quota-share.js';
+import {quotaSlotCount} from '../../decisions/quota-slot-count.js';
 import {QuotaSlots} from '../../decisions/quota-slots.js';
 import {type Kernel} from '../../kernel/kernel.js';
 import {QuotaService} from './quota-service.js';
 import {QuotaSlotService} from './quota-slot-service.js';
 
-/** Number of parts into which the quotas of accounts are divided. A part of the smallest quota still holds a token; a lost host loses one part. */
-const quotaSlots = 16;
-
 /** Adds the services that keep accounts within their quotas. */
 export function addQuotas(kernel: Kernel, {host, bounds}: SteeringSettings, itemCodec: SteeringItemCodec): void {
+	const slotCount = quotaSlotCount(bounds);
 	kernel
-		.add({name: 'quotaShare', requires: [], start: () => new QuotaShare({bounds, slots: quotaSlots})})
+		.add({name: 'quotaShare', requires: [], start: () => new QuotaShare({bounds, slots: slotCount})})
 		.add({
 			name: 'quotaSlots', requires: ['clock', 'logger', 'metrics', 'prefixStore', 'steering', 'quotaShare'], start({get, lifecycle}) {
 				const service = new QuotaSlotService({
@@ -21,7 +20,7 @@
 					metrics: get('metrics'),
 					store: get('prefixStore'),
 					steering: get('steering'),
-					slots: new QuotaSlots({self: host.id, slots: quotaSlots, rateLoanMs: QuotaShare.rateLoanMs}),
+					slots: new QuotaSlots({self: host.id, slots: slotCount, rateLoanMs: QuotaShare.rateLoanMs}),
 					share: get('quotaShare'),
 					keyOf: itemCodec.quotaSlotKey,
 					value: itemCodec.encodeQuotaSlot(host.id),
