--- a/src/decisions/request-cutter.ts
+++ b/src/decisions/request-cutter.ts
@@ -7,6 +7,7 @@
 const minHeadBytes = 16;
 /** Most lines of a part of a body in chunks, which has two for each chunk: chunks of one byte need some hundred bytes of memory each until they are read. */
 const maxChunkedLines = 64;
+const noBytes = new Uint8Array();
 const lineFeed = 10;
 const carriageReturn = 13;
 
@@ -18,7 +19,7 @@
 	#body: Framing = {kind: 'none'};
 	#hasEndedHead = false;
 	/** The last two bytes of a head of which more is to come; empty at the beginning of a head. */
-	#headTail: Uint8Array = new Uint8Array();
+	#headTail: Uint8Array = noBytes;
 
 	/** Whether the bytes that come next belong to a request whose head was read. */
 	get isInBody(): boolean {
@@ -67,12 +68,11 @@
 
 	#cutHead(bytes: Uint8Array): number {
 		const tail = this.#headTail;
-		const window = new Uint8Array([...tail, ...bytes.subarray(0, 2)]);
-		const begin = endOfEmptyLine(window, 1) ?? 0;
+		const begin = tail.length === 0 ? 0 : endOfEmptyLine(new Uint8Array([...tail, ...bytes.subarray(0, 2)]), 1) ?? 0;
 		const end = begin > tail.length ? begin - tail.length : endOfEmptyLine(bytes, tail.length === 0 ? minHeadBytes : 1);
 		const length = end ?? Math.min(bytes.length, maxPartBytes);
 		this.#hasEndedHead = end !== undefined;
-		this.#headTail = end === undefined ? new Uint8Array([...tail, ...bytes.subarray(Math.max(0, length - 2), length)]).slice(-2) : new Uint8Array();
+		this.#headTail = end === undefined ? new Uint8Array([...tail, ...bytes.subarray(Math.max(0, length - 2), length)]).slice(-2) : noBytes;
 		return length;
 	}
 }
--- a/src/services/read-request-body.ts
+++ b/src/services/read-request-body.ts
@@ -41,7 +41,8 @@
 			memory.recordBodyRead();
 			const needed = size + next.value.byteLength;
 			if (needed > bytes.length) {
-				const grown = Buffer.allocUnsafeSlow(Math.max(initialBufferBytes, needed, Math.min(bytes.length * 2, maxBufferedBytes)));
+				const isWhole = needed === Number(length);
+				const grown = Buffer.allocUnsafe(isWhole ? needed : Math.max(initialBufferBytes, needed, Math.min(bytes.length * 2, maxBufferedBytes)));
 				bytes.copy(grown, 0, 0, size);
 				memory.hold(grown.length - bytes.length);
 				bytes = grown;
--- a/src/services/uploads/client-connection.ts
+++ b/src/services/uploads/client-connection.ts
@@ -19,6 +19,7 @@
 type WriteCallback = Parameters<Duplex['_write']>[2];
 type Chunk = {readonly chunk: Uint8Array | string; readonly encoding: BufferEncoding};
 
+const noBytes: Uint8Array = Buffer.alloc(0);
 /** Bytes that are read ahead while the parser is given nothing, so that the end of a connection behind them is still seen. */
 const maxReadAheadBytes = 16_384;
 /** Bytes that the socket and the system receive for a connection while nobody reads it: one read, and the usual size of the system's buffer. */
@@ -38,7 +39,7 @@
 	chunkedBody: IncomingMessage | undefined;
 	readonly #options: ConnectionOptions;
 	readonly #socket: Socket;
-	#rest: Uint8Array = Buffer.alloc(0);
+	#rest: Uint8Array = noBytes;
 	#isWanted = false;
 	#hasEnded = false;
 
@@ -55,7 +56,7 @@
 		}).on('end', () => {
 			// What was received before and not read counts as not read: the client left before its responses.
 			this.#hasEnded = true;
-			this.#keep(Buffer.alloc(0));
+			this.#keep(noBytes);
 			this.push(null);
 		}).on('error', err => {
 			this.destroy(err);
@@ -121,7 +122,7 @@
 
 			const length = this.cutter.cut(this.#rest);
 			const part = this.#rest.subarray(0, length);
-			this.#keep(this.#rest.subarray(length));
+			this.#keep(length === this.#rest.length ? noBytes : this.#rest.subarray(length));
 			this.hasUntoldHead = this.cutter.hasEndedHead;
 			this.#isWanted = false;
 			this.push(part);
@@ -151,7 +152,7 @@
 	}
 
 	override _destroy(...[err, callback]: Parameters<Duplex['_destroy']>): void {
-		this.#keep(Buffer.alloc(0));
+		this.#keep(noBytes);
 		this.#socket.destroy();
 		callback(err);
 	}
