--- a/tools/measure-request-cost.ts
+++ b/tools/measure-request-cost.ts
@@ -14,7 +14,7 @@
 import {profileSteps} from './profile-steps.js';
 
 type CostOptions = {
-	/** Built daemon to measure in place of the one of this version. */
+	/** Built daemon of another version, which is measured at the same time on half of the hosts. */
 	readonly daemonScript: string | undefined;
 };
 
@@ -23,8 +23,10 @@
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
 const network = '127.63';
-const zones = ['dsm-a', 'dsm-b', 'dsm-c'];
-const profiledHost = 'edge-dsm-a-1';
+const zones = ['dsm-a', 'dsm-b', 'dsm-c', 'dsm-d', 'dsm-e', 'dsm-f'];
+const otherVersionHosts = new Set(['edge-dsm-d-1', 'edge-dsm-e-1', 'edge-dsm-f-1']);
+/** Hosts that are profiled, one of each version. */
+const profiledHosts = new Set(['edge-dsm-a-1', 'edge-dsm-d-1']);
 const kinds = [
 	{
 		service: 'catalogue', path: '/lots/', method: 'GET', fields: {},
@@ -38,24 +40,26 @@
 ] as const;
 const services = kinds.map(kind => kind.service);
 const routes = kinds.map(({service, path, fields}) => platformDocuments.route(service, path, {service, ...fields}));
-const instancesPerZone = 22;
+const instancesPerZone = 11;
 /** Rate of each pair of a host and an instance. */
 const perSecondAndPair = 0.2;
 const objectCount = 300;
 const deadlineMs = 2000;
 /** Time from the start of a daemon until it accepts requests; the profile begins then, and the parts that are read last longer. */
 const readyMs = 700;
-const settleMs = 4000;
-const restMs = 6000;
+/** Time after the start until compilation and the joining of members no longer add to the time at rest. */
+const settleMs = 12_000;
+const restMs = 12_000;
 const warmUpMs = 5000;
 const loadMs = 20_000;
 
 /**
  * Measures the processor time that a request costs on a host with many instances and few requests to each: the time under load less
- * the time at rest. One host is profiled, which gives the shares of the steps; the others give the total.
+ * the time at rest. Two hosts are profiled, which gives the parts of the steps; the others give the total.
  */
 export async function measureRequestCost({daemonScript}: CostOptions): Promise<Record<string, unknown>> {
 	const folder = mkdtempSync(join(tmpdir(), 'request-cost-'));
+	const daemonScriptOf = (id: string) => (otherVersionHosts.has(id) ? daemonScript : undefined);
 	const fleet = new PlatformFleet({
 		root,
 		logFolder: undefined,
@@ -63,8 +67,8 @@
 		zones,
 		services,
 		instancesPerZone,
-		daemonScript,
-		nodeOptionsOf: id => (id === profiledHost ? ['--cpu-prof', `--cpu-prof-dir=${folder}`] : []),
+		daemonScriptOf,
+		nodeOptionsOf: id => (profiledHosts.has(id) ? ['--cpu-prof', `--cpu-prof-dir=${join(folder, id)}`] : []),
 	});
 	try {
 		await fleet.startStandIns(platformDocuments.configuration(1, routes, services));
@@ -85,24 +89,38 @@
 		const untilMs = performance.now() - profileStartMs;
 		const sentCounts = counts.map((count, index) => count.sent - sentBefore[index]!);
 		await sending;
-		await fleet.stopDaemon(profiledHost);
-		const profile = readdirSync(folder).find(name => name.endsWith('.cpuprofile'));
-		const steps = profileSteps(join(folder, profile!), `${daemonScript ?? join(root, 'target', 'cowslipspar.mjs')}.map`, fromMs, untilMs);
-		const costs = fleet.hosts.map((_, index) => ({
-			restCoreShare: (afterRest[index]!.cpuMs - beforeRest[index]!.cpuMs) / restMs,
-			loadCoreShare: (afterLoad[index]!.cpuMs - beforeLoad[index]!.cpuMs) / loadMs,
-			sent: sentCounts[index]!,
-		})).slice(1);
-		const msPerRequest = costs.map(({restCoreShare, loadCoreShare, sent}) => round((loadCoreShare - restCoreShare) * loadMs / sent));
+		const costs = fleet.hosts.map(({id}, index) => {
+			const restCoreShare = (afterRest[index]!.cpuMs - beforeRest[index]!.cpuMs) / restMs;
+			const loadCoreShare = (afterLoad[index]!.cpuMs - beforeLoad[index]!.cpuMs) / loadMs;
+			return {
+				id, restCoreShare, loadCoreShare, msPerRequest: (loadCoreShare - restCoreShare) * loadMs / sentCounts[index]!,
+			};
+		});
+		const stepsOf = async (id: string) => {
+			await fleet.stopDaemon(id);
+			const profile = readdirSync(join(folder, id)).find(name => name.endsWith('.cpuprofile'));
+			const steps = profileSteps(join(folder, id, profile!), `${daemonScriptOf(id) ?? join(root, 'target', 'cowslipspar.mjs')}.map`, fromMs, untilMs);
+			const sent = sentCounts[fleet.hosts.findIndex(host => host.id === id)]!;
+			return Object.fromEntries(Object.entries(steps).toSorted((a, b) => b[1] - a[1]).map(([name, totalMs]) => [name, round(totalMs / sent)]));
+		};
+
+		const summaryOf = async (isOther: boolean) => {
+			const measured = costs.filter(({id}) => otherVersionHosts.has(id) === isOther && !profiledHosts.has(id));
+			return {
+				restCoreShare: measured.map(cost => round(cost.restCoreShare)),
+				loadCoreShare: measured.map(cost => round(cost.loadCoreShare)),
+				msPerRequest: measured.map(cost => round(cost.msPerRequest)),
+				profiledMsPerRequestByStep: await stepsOf([...profiledHosts].find(id => otherVersionHosts.has(id) === isOther)!),
+			};
+		};
+
 		return {
 			instances: fleet.instances.length,
 			requests: sum(sentCounts),
 			answeredShare: round(sum(counts.map(count => count.answered)) / sum(counts.map(count => count.sent))),
-			restCoreShare: costs.map(cost => round(cost.restCoreShare)),
-			loadCoreShare: costs.map(cost => round(cost.loadCoreShare)),
-			msPerRequest,
 			connectionsPerRequest: round((afterLoad[0]!.connections - beforeLoad[0]!.connections) / sum(sentCounts)),
-			profiledMsPerRequestByStep: Object.fromEntries(Object.entries(steps).toSorted((a, b) => b[1] - a[1]).map(([name, totalMs]) => [name, round(totalMs / sentCounts[0]!)])),
+			[daemonScript === undefined ? 'firstHosts' : 'thisVersion']: await summaryOf(false),
+			[daemonScript === undefined ? 'otherHosts' : 'otherVersion']: await summaryOf(true),
 		};
 	} finally {
 		await fleet.close();
--- a/tools/measure.ts
+++ b/tools/measure.ts
@@ -39,7 +39,7 @@
 	  --svg       file for a chart of what callers got by second
 
 	Options of request-cost
-	  --daemon  built daemon of another version to measure; default: the one of this version
+	  --daemon  built daemon of another version, which runs on half of the hosts; default: this version on all of them
 `, {
 	importMeta: import.meta,
 	flags: {
--- a/tools/platform-fleet.ts
+++ b/tools/platform-fleet.ts
@@ -30,8 +30,8 @@
 	readonly services?: readonly string[];
 	/** Instances of each service in each zone. */
 	readonly instancesPerZone?: number;
-	/** Daemon to start in place of the one that is built, for instance one of an earlier version. */
-	readonly daemonScript?: string | undefined;
+	/** Returns the daemon to start on a host in place of the one that is built, for instance one of an earlier version. */
+	readonly daemonScriptOf?: (hostId: string) => string | undefined;
 	/** Returns the options of Node.js for the daemon of a host. */
 	readonly nodeOptionsOf?: (hostId: string) => readonly string[];
 };
@@ -101,12 +101,10 @@
 
 	/** Builds the daemon, starts it on every host and waits until all accept requests. */
 	async startDaemons(): Promise<void> {
-		const {root, logFolder, daemonScript} = this.#options;
-		if (daemonScript === undefined) {
-			const bundling = await Child.start({script: join(root, 'deploy', 'bundle.js'), args: [], shouldAwaitReady: false});
-			if (await bundling.exited !== 0) {
-				throw new Error('building the daemon failed: deploy/bundle.js exited with a code other than 0');
-			}
+		const {root, logFolder} = this.#options;
+		const bundling = await Child.start({script: join(root, 'deploy', 'bundle.js'), args: [], shouldAwaitReady: false});
+		if (await bundling.exited !== 0) {
+			throw new Error('building the daemon failed: deploy/bundle.js exited with a code other than 0');
 		}
 
 		if (logFolder !== undefined) {
@@ -118,7 +116,7 @@
 
 	/** Starts the daemon of one host and waits until it accepts requests. */
 	async startDaemon(id: string): Promise<void> {
-		const {root, logFolder, daemonScript, nodeOptionsOf} = this.#options;
+		const {root, logFolder, daemonScriptOf, nodeOptionsOf} = this.#options;
 		const host = this.hosts.find(item => item.id === id)!;
 		const file = join(this.#folder, `${id}.toml`);
 		const template = readFileSync(join(root, 'deploy', 'daemon.toml'), 'utf8');
@@ -127,7 +125,7 @@
 			...host, zones: Object.fromEntries(this.hosts.map(item => [item.zone, item.region])), seeds, storeAddress: `${this.#storeHost}:${storePort}`,
 		})));
 		this.#daemons.set(id, await Child.start({
-			script: daemonScript ?? join(root, 'target', 'cowslipspar.mjs'),
+			script: daemonScriptOf?.(id) ?? join(root, 'target', 'cowslipspar.mjs'),
 			args: [],
 			nodeOptions: nodeOptionsOf?.(id) ?? [],
 			env: {[platformNames.settingsVariable]: file},
