A response with a status that HTTP does not define is invalid, not lost

Callers: an instance that answers with status 000 got its path closed. Each such request got 502, and after two of them every request for the path got 503, though sound instances stood by; two in a row also took the instance out of use. Statuses 600 and 999 were forwarded to the client with the instance's signature.

Cause: undici takes a status below 100 for an informational one and fails an assertion at its end, and its parser's errors have no code. Both were classified as a lost connection, which counts as a crash report and against the instance. Nothing checked the upper end of the range.

Change: statuses outside 100 to 599 (RFC 9110, section 15) and bytes that the parser rejects are a broken response: 502, since the request may have run, without a crash report. A connection that ends within a response stays lost. The same in the exchanges of the product's own interface.

--- a/src/adapters/describe-failure.test.ts
+++ b/src/adapters/describe-failure.test.ts
@@ -13,6 +13,14 @@
 		expect(failureOf('ECONNRESET', syscall).kind).toBe('lost');
 	});
 
+	it('does not take a request as lost to which the server sent bytes that are no response', () => {
+		expect(describeFailure(Object.assign(new Error('Expected HTTP/'), {name: 'HTTPParserError'})).kind).toBe('broken');
+	});
+
+	it('takes a request as lost whose connection ends within the response', () => {
+		expect(describeFailure(Object.assign(new Error('Invalid EOF state'), {name: 'HTTPParserError'})).kind).toBe('lost');
+	});
+
 	it('takes a request as lost after an error without a code', () => {
 		expect(describeFailure('closed').kind).toBe('lost');
 	});
--- a/src/adapters/http-exchange.test.ts
+++ b/src/adapters/http-exchange.test.ts
@@ -89,4 +89,10 @@
 
 		expect(await exchange()).toMatchObject({kind: 'lost'});
 	});
+
+	it.each(['000', '600'])('does not return a response with status %s, which HTTP does not define', async status => {
+		respond = socket => socket.write(`HTTP/1.1 ${status} Status\r\ncontent-length: 2\r\n\r\nok`);
+		expect(await exchange()).toMatchObject({kind: 'broken'});
+		expect(pool.size).toBe(0);
+	});
 });
--- a/src/adapters/http-exchange.ts
+++ b/src/adapters/http-exchange.ts
@@ -4,6 +4,7 @@
 import {describeFailure} from './describe-failure.js';
 import {readBody} from './read-body.js';
 import {responseFraming} from './response-framing.js';
+import {statusFault} from './status-fault.js';
 import {withProgress} from './with-progress.js';
 
 type Exchange = {
@@ -48,6 +49,7 @@
 	}
 
 	const scope = new AbortScope(exchange.timeoutMs, exchange.signal);
+	let invalidStatus: string | undefined;
 	try {
 		const res = await conn.client.request({
 			method: exchange.method,
@@ -55,6 +57,10 @@
 			headers: exchange.headers,
 			body: exchange.body,
 			signal: scope.signal,
+			onInfo({statusCode}) {
+				// The HTTP client takes every status below 200 for an informational one.
+				invalidStatus ??= statusFault(statusCode);
+			},
 		});
 		const body = await readBody(withProgress(res.body, conn.markProgress), exchange.maxAnswerBytes);
 		if (!body.success) {
@@ -69,7 +75,7 @@
 			return {kind: 'lost', detail: 'the connection failed before the response was complete'};
 		}
 
-		const fault = findFault(exchange.requestId, headers, body.data);
+		const fault = statusFault(res.statusCode) ?? findFault(exchange.requestId, headers, body.data);
 		if (fault !== undefined) {
 			exchange.pool.discard(conn);
 			return {kind: 'broken', detail: fault};
@@ -95,7 +101,7 @@
 			return {kind: 'cancelled'};
 		}
 
-		return describeFailure(err);
+		return invalidStatus === undefined ? describeFailure(err) : {kind: 'broken', detail: invalidStatus};
 	} finally {
 		scope.close();
 	}
--- a/src/adapters/instance-client.ts
+++ b/src/adapters/instance-client.ts
@@ -11,6 +11,7 @@
 import {PoolSet} from './pool-set.js';
 import {rawHeader} from './raw-header.js';
 import {responseFraming} from './response-framing.js';
+import {statusFault} from './status-fault.js';
 import {withProgress} from './with-progress.js';
 
 type InstanceClientOptions = {
@@ -80,6 +81,7 @@
 		const scope = new AbortScope(call.remainingMs, call.disconnect);
 		let isScopeHandedOver = false;
 		let informationalCount = 0;
+		let invalidStatus: string | undefined;
 		try {
 			const res = await conn.client.request({
 				method: call.method,
@@ -88,9 +90,11 @@
 				body: call.body as Uint8Array | undefined,
 				signal: scope.signal,
 				responseHeaders: 'raw',
-				onInfo() {
+				onInfo({statusCode}) {
 					informationalCount++;
-					if (informationalCount > maxInformationalResponses) {
+					// The HTTP client takes every status below 200 for an informational one.
+					invalidStatus ??= statusFault(statusCode);
+					if (invalidStatus !== undefined || informationalCount > maxInformationalResponses) {
 						pool.discard(conn);
 					}
 				},
@@ -145,6 +149,10 @@
 				return {kind: 'cancelled'};
 			}
 
+			if (invalidStatus !== undefined) {
+				return {kind: 'broken', detail: invalidStatus};
+			}
+
 			return informationalCount > maxInformationalResponses
 				? {kind: 'broken', detail: `more than ${maxInformationalResponses} informational responses`}
 				: describeFailure(err);
@@ -241,6 +249,11 @@
  */
 function findFault(call: InstanceCall, head: Head, isNewConnection: boolean): string | undefined {
 	const {info, status, headers} = head;
+	const invalidStatus = statusFault(status);
+	if (invalidStatus !== undefined) {
+		return invalidStatus;
+	}
+
 	const isAnonymousRefusal = isRefusal(head) && info.requestId === undefined;
 	if (info.requestId !== call.requestId && !(isAnonymousRefusal && isNewConnection)) {
 		return 'the response does not contain the id of this request';
