--- a/src/decisions/quota-share.ts
+++ b/src/decisions/quota-share.ts
@@ -2,6 +2,7 @@
 import {type QuotaAsk} from '../contracts/quota-ask.js';
 import {type QuotaOffer} from '../contracts/quota-offer.js';
 import {lendableTokens} from './lendable-tokens.js';
+import {type QuotaAccount} from './quota-account.js';
 import {QuotaBucket} from './quota-bucket.js';
 import {QuotaDemand} from './quota-demand.js';
 import {quotaLimits} from './quota-limits.js';
@@ -13,17 +14,6 @@
 	readonly slots: number;
 };
 
-type AccountState = {
-	limits: ReturnType<typeof quotaLimits>;
-	readonly bucket: QuotaBucket;
-	readonly purse: QuotaPurse;
-	readonly demand: QuotaDemand;
-	/** Tokens that calls under way ask for. */
-	asked: number;
-	/** Time at which the quota was removed from the configuration. */
-	removedMs: number | undefined;
-};
-
 /** Token that a request holds. */
 type Token = {readonly account: string; readonly takenMs: number; readonly fromBucket: number; readonly fromPurse: ReturnType<QuotaPurse['take']>};
 
@@ -67,7 +57,7 @@
 	/** Longest time for which a rate is lent, in milliseconds. */
 	static readonly rateLoanMs = rateLoanMs;
 	readonly #options: QuotaShareOptions;
-	readonly #accounts = new Map<string, AccountState>();
+	readonly #accounts = new Map<string, QuotaAccount>();
 	#slots = {count: 0, validUntilMs: 0};
 
 	constructor(options: QuotaShareOptions) {
@@ -256,7 +246,7 @@
 	}
 
 	/** Keeps what was lent in mind until it has ended, since the quota may be added again at once. */
-	#retire(name: string, state: AccountState, nowMs: number): void {
+	#retire(name: string, state: QuotaAccount, nowMs: number): void {
 		state.removedMs ??= nowMs;
 		if (nowMs - state.removedMs > rateLoanMs) {
 			this.#accounts.delete(name);
@@ -267,11 +257,11 @@
 		}
 	}
 
-	#level(state: AccountState, nowMs: number): number {
+	#level(state: QuotaAccount, nowMs: number): number {
 		return state.bucket.level(nowMs) + state.purse.level(nowMs);
 	}
 
-	#applySlots({limits, bucket, removedMs}: AccountState, nowMs: number): void {
+	#applySlots({limits, bucket, removedMs}: QuotaAccount, nowMs: number): void {
 		if (removedMs !== undefined) {
 			return;
 		}
@@ -283,7 +273,7 @@
 	}
 
 	/** Returns what to give back to which peer, once requests have moved to another host. */
-	#returns({demand, purse}: AccountState, waiting: number, peers: ReadonlyArray<{readonly id: string}>, nowMs: number): ReadonlyMap<string, NonNullable<QuotaAsk['returns']>> {
+	#returns({demand, purse}: QuotaAccount, waiting: number, peers: ReadonlyArray<{readonly id: string}>, nowMs: number): ReadonlyMap<string, NonNullable<QuotaAsk['returns']>> {
 		const returns = new Map<string, NonNullable<QuotaAsk['returns']>>();
 		if (waiting === 0 && demand.isIdle(nowMs)) {
 			for (const {peer, loanId, tokens} of purse.removeLumps(new Set(peers.map(({id}) => id)), nowMs + returnMs)) {
--- a/src/services/ingress-service.ts
+++ b/src/services/ingress-service.ts
@@ -18,6 +18,7 @@
 import {disconnectSignal} from './disconnect-signal.js';
 import {errorResponse} from './error-response.js';
 import {headBytes} from './head-bytes.js';
+import {initialLimits} from './initial-limits.js';
 import {listenAt} from './listen-at.js';
 import {type Logger} from './logger.js';
 import {type Metrics} from './metrics.js';
@@ -63,10 +64,6 @@
 const maxWaitingConnections = 1024;
 /** Memory that is held for a request while an instance may respond to it: what the HTTP client reads at once. */
 const inFlightBytes = 32_768;
-/** Limits until the first configuration arrives. */
-const initialLimits: Limits = {
-	maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 5000, idleTimeoutMs: 15_000,
-};
 const droppedResponseHeaders = new Set(['content-length']);
 
 /**
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -69,6 +69,8 @@
 /** What determined a refusal for lack of capacity: by how much the expected wait is too long, the time until the deadline, and the usual run time. */
 type BusyFigures = {readonly excessWaitMs: number; readonly remainingMs: number; readonly usualRunMs: number};
 type SendableBody = Parameters<typeof toCallBody>[0];
+/** Choice that names no instance. */
+type NoInstance = Exclude<ReturnType<Placement['choose']>, {kind: 'instance'}>;
 type InstanceEntry = NonNullable<ReturnType<InstanceTable['get']>>;
 
 /** Request bodies up to this size are buffered, so that they can be sent again. */
@@ -226,7 +228,7 @@
 
 	/** Sends the request until an instance responds or no further attempt is allowed. */
 	async #sendUntilAnswered(context: RequestContext): Promise<ProxyOutcome> {
-		const {clock, retries, countHosts, observer, metrics, logger} = this.#options;
+		const {clock, retries, countHosts, metrics, logger} = this.#options;
 		const {req, attempts, service, deadlineMs, triedInstanceIds} = context;
 		let lastResult: InstanceResult | undefined;
 		for (;;) {
@@ -240,18 +242,8 @@
 			}
 
 			const choice = this.#choose(context, nowMs);
-			if (choice.kind === 'paused' && !attempts.mayHaveRun) {
-				return {kind: 'not_run', reason: 'paused', retryAfterMs: choice.pauseMs};
-			}
-
-			if (choice.kind === 'none' || choice.kind === 'paused') {
-				return this.#outcomeWithoutResponse(attempts, lastResult, lastResult === undefined ? 'no_upstream' : 'shed');
-			}
-
-			if (choice.kind === 'busy') {
-				return this.#outcomeWithoutResponse(attempts, lastResult, 'busy', {
-					excessWaitMs: Math.round(choice.excessMs), remainingMs: Math.round(deadlineMs - nowMs), usualRunMs: Math.round(observer.runMs(service, context.admission.route)),
-				});
+			if (choice.kind !== 'instance') {
+				return this.#outcomeWithoutInstance(context, choice, lastResult, nowMs);
 			}
 
 			if (!isOverBefore({
@@ -272,6 +264,7 @@
 			}
 
 			if (quota.kind === 'waited') {
+				// The choice of an instance is out of date.
 				continue;
 			}
 
@@ -295,6 +288,27 @@
 		}
 	}
 
+	/** Returns the outcome of a request that cannot be sent to any instance now. */
+	#outcomeWithoutInstance({attempts, service, admission, deadlineMs}: RequestContext, choice: NoInstance, lastResult: InstanceResult | undefined, nowMs: number): ProxyOutcome {
+		switch (choice.kind) {
+			case 'paused': {
+				return attempts.mayHaveRun ? this.#outcomeWithoutResponse(attempts, lastResult, 'shed') : {kind: 'not_run', reason: 'paused', retryAfterMs: choice.pauseMs};
+			}
+
+			case 'none': {
+				return this.#outcomeWithoutResponse(attempts, lastResult, lastResult === undefined ? 'no_upstream' : 'shed');
+			}
+
+			case 'busy': {
+				return this.#outcomeWithoutResponse(attempts, lastResult, 'busy', {
+					excessWaitMs: Math.round(choice.excessMs),
+					remainingMs: Math.round(deadlineMs - nowMs),
+					usualRunMs: Math.round(this.#options.observer.runMs(service, admission.route)),
+				});
+			}
+		}
+	}
+
 	#choose(context: RequestContext, nowMs: number): ReturnType<Placement['choose']> {
 		const {placement, steering, observer, coldLimitPerSecond} = this.#options;
 		const {req, admission, service, objectKey, triedInstanceIds, deadlineMs} = context;
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -23,33 +23,24 @@
 import {SeededRandom} from './decisions/seeded-random.js';
 import {StoreOutage} from './decisions/store-outage.js';
 import {Kernel} from './kernel/kernel.js';
-import {DirectoryService} from './services/directory-service.js';
-import {HostLoadMonitor} from './services/host-load-monitor.js';
-import {serveHttp} from './services/http-service.js';
 import {IngressService} from './services/ingress-service.js';
 import {Logger} from './services/logger.js';
 import {LoopMonitor} from './services/loop-monitor.js';
 import {LoopTurns} from './services/loop-turns.js';
 import {MembersService} from './services/members-service.js';
 import {Metrics} from './services/metrics.js';
-import {operatorRoutes} from './services/operator-routes.js';
 import {NoticeRecorder} from './services/notice-recorder.js';
 import {PeerClient} from './services/peer-client.js';
 import {PlannerService} from './services/planner-service.js';
 import {ProxyService} from './services/proxy-service.js';
 import {QuarantineService} from './services/quarantine-service.js';
 import {addQuotas} from './services/quotas/add-quotas.js';
-import {Readiness} from './services/readiness.js';
 import {ReplicaService} from './services/replica-service.js';
 import {HostListService} from './services/host-list-service.js';
-import {steeringHostStatus} from './services/steering-host-status.js';
-import {steeringPeerServer} from './services/steering-peer-server.js';
-import {SteeringRouter} from './services/steering-router.js';
 import {SteeringService} from './services/steering-service.js';
 import {AttemptObserver} from './services/attempt-observer.js';
-import {StatusService} from './services/status-service.js';
-import {StopService} from './services/stop-service.js';
 import {ClientGuard} from './services/uploads/client-guard.js';
+import {addSteeringServers} from './steering-servers.js';
 
 /** Interfaces of the operators' platform: its store, the items in it, and its HTTP headers. */
 type SteeringPlatform = {
@@ -69,14 +60,6 @@
 const hostListPollMs = 1000;
 /** Interval at which idle connections are closed. */
 const sweepMs = 2000;
-/** Interval at which the host checks whether it is ready to be listed in the directory. */
-const readinessCheckMs = 100;
-/** Time for which clients may cache the directory's responses. */
-const directoryTtlMs = 1000;
-/** Some clients cache a response for up to this multiple of its TTL. */
-const cacheTtlFactor = 3;
-/** Part of the grace time that is reserved for stopping the services. */
-const shutdownReserveMs = 400;
 /** Entries whose leases expired while the store was unavailable are written again within about two seconds of its recovery. */
 const entryReappearanceMs = 2200;
 /** Time in one turn of the event loop for which requests that were read are started. */
@@ -87,7 +70,6 @@
 const maxInstanceConnections = 64;
 /** Responses of instances up to this size are buffered completely before they are forwarded. */
 const maxBufferedResponseBytes = 262_144;
-const receiveTimeoutMs = 5000;
 const bytesPerMb = 1_048_576;
 
 /** Creates the kernel with the services of a daemon that serves published routes; starting the kernel starts them. */
@@ -102,7 +84,7 @@
 	addMembership(kernel, platform, {self, size: hostSizeOf(settings.capacity), seed});
 	addQuotas(kernel, settings, platform.itemCodec);
 	addRequestPath(kernel, settings, platform, seed);
-	addServers(kernel, settings);
+	addSteeringServers(kernel, settings);
 	return kernel;
 }
 
@@ -342,86 +324,3 @@
 			},
 		});
 }
-
-function addServers(kernel: Kernel, settings: SteeringSettings): void {
-	kernel
-		.add({
-			name: 'directory', requires: ['members', 'steering', 'logger', 'metrics'],
-			start: ({get}) => new DirectoryService({
-				members: get('members'), steering: get('steering'), logger: get('logger'), metrics: get('metrics'), ttlMs: directoryTtlMs,
-			}),
-		})
-		.add({
-			name: 'hostLoad', requires: ['clock', 'logger', 'metrics', 'members', 'ingress', 'instanceClient'], start({get, lifecycle}) {
-				const monitor = new HostLoadMonitor({
-					clock: get('clock'),
-					logger: get('logger'),
-					metrics: get('metrics'),
-					members: get('members'),
-					countConnections: () => get('ingress').connections + get('instanceClient').connections,
-					maxDescriptors: settings.capacity?.maxDescriptors,
-				});
-				monitor.start(lifecycle);
-				return monitor;
-			},
-		})
-		.add({
-			name: 'stop', requires: ['clock', 'logger', 'members', 'proxy', 'ingress', 'quotaSlots'],
-			start({get}) {
-				const ingress = get('ingress');
-				const proxy = get('proxy');
-				return new StopService({
-					clock: get('clock'),
-					logger: get('logger'),
-					members: get('members'),
-					countRequestsInFlight: () => proxy.inFlight,
-					onBegin(endMs) {
-						get('quotaSlots').drain();
-						proxy.finishBy(endMs);
-						ingress.closeAfterNextResponse();
-					},
-					onLookupsExpired() {
-						ingress.refuseRequests();
-					},
-					graceMs: settings.bounds.graceMs - shutdownReserveMs,
-					lookupTtlMs: Math.min(directoryTtlMs * cacheTtlFactor, settings.bounds.graceMs / 2),
-				});
-			},
-		})
-		.add({
-			name: 'readiness', requires: ['members', 'steering', 'stop'], start({get, lifecycle}) {
-				const readiness = new Readiness({members: get('members'), steering: get('steering'), stop: get('stop')});
-				lifecycle.every('announcement', readinessCheckMs, () => {
-					readiness.clearLeavingWhenReady();
-				});
-				return readiness;
-			},
-		})
-		.add({
-			name: 'status', requires: ['members', 'steering', 'proxy', 'quarantine', 'readiness', 'stop', 'peerClient'],
-			start: ({get}) => new StatusService({
-				describe: () => steeringHostStatus({
-					members: get('members'), steering: get('steering'), proxy: get('proxy'), quarantine: get('quarantine'), readiness: get('readiness'), stop: get('stop'),
-				}),
-				isReady: () => get('readiness').isReady(),
-				members: get('members'),
-				peerClient: get('peerClient'),
-			}),
-		})
-		.add({
-			name: 'operatorServer', requires: ['metrics', 'status', 'quarantine'], async start({get, lifecycle}) {
-				const app = operatorRoutes({metrics: get('metrics'), status: get('status'), quarantine: get('quarantine')});
-				await serveHttp(app, {address: settings.listen.metrics, receiveTimeoutMs}, lifecycle);
-				return {address: settings.listen.metrics};
-			},
-		})
-		.add({
-			name: 'peerServer', requires: ['members', 'quarantine', 'replica', 'planner', 'status', 'quotas'], async start({get, lifecycle}) {
-				const router = SteeringRouter.create({
-					members: get('members'), quarantine: get('quarantine'), replica: get('replica'), planner: get('planner'), status: get('status'), quotas: get('quotas'),
-				});
-				await serveHttp(steeringPeerServer(router), {address: settings.listen.peers, receiveTimeoutMs}, lifecycle);
-				return {address: settings.listen.peers};
-			},
-		});
-}
