Upstream contract: a response that is not HTTP is a broken answer, not a lost connection

The test now expects a broken answer, and in addition checks for each invalid response whether it counts as a crash.

--- a/src/contracts/upstream.test.ts
+++ b/src/contracts/upstream.test.ts
@@ -149,13 +149,13 @@
 			{
 				name: 'a body shorter than its content-length', response: `${head}content-length: 20\r\n\r\nhi`, reason: 'connection_lost', isClosing: true,
 			},
-			{name: 'a response that is not HTTP', response: 'what?\r\n\r\n', reason: 'connection_lost'},
+			{name: 'a response that is not HTTP', response: 'what?\r\n\r\n', reason: 'answer_broken'},
 			{name: 'headers that are too long', response: `${head}x: ${'y'.repeat(40_000)}\r\n\r\n`, reason: 'connection_lost'},
 		])('returns unknown for $name', async ({response, reason, isClosing}) => {
 			const serverHost = nextLoopbackAddress();
 			const server = new RawServer(() => response, isClosing ?? false);
 			await server.listen(serverHost, port);
-			expect(await upstream.call(makeCall(`${serverHost}:${port}`))).toMatchObject({outcome: {kind: 'unknown', reason}});
+			expect(await upstream.call(makeCall(`${serverHost}:${port}`))).toMatchObject({outcome: {kind: 'unknown', reason}, mayHaveCrashed: reason === 'connection_lost'});
 			expect(upstream.connections).toBe(0);
 			await server.close();
 		});
