--- a/review/lib-2/deployment.js
+++ b/review/lib-2/deployment.js
@@ -51,7 +51,7 @@
 	daemons = new Map();
 	#network;
 	#folder = mkdtempSync(path.join(tmpdir(), 'review-2-'));
-	/** Address of the store as a host of a region knows it: the store's own, or that of a link to it. */
+	/** Address of the store as a host knows it, by region and id: the store's own, or that of a link to it. */
 	storeAddressOf = () => this.address(250);
 
 	/** `zones` has one entry for each host: the name of its zone, whose region is the part before the dash. */
@@ -87,7 +87,7 @@
 			...host,
 			zones: Object.fromEntries(this.hosts.map(item => [item.zone, item.region])),
 			seeds: this.hosts.slice(0, 3).map(({ip}) => ip),
-			storeAddress: `${this.storeAddressOf(host.region)}:${storePort}`,
+			storeAddress: `${this.storeAddressOf(host.region, id)}:${storePort}`,
 		})));
 		const {program, args} = deployedCommand();
 		const log = openSync(path.join(this.#folder, `${id}.log`), 'a');
