--- a/review/lib-2/deployment.js
+++ b/review/lib-2/deployment.js
@@ -61,6 +61,12 @@
 		this.hosts = zones.map((zone, index) => ({
 			id: `edge-${zone}-${index + 1}`, region: zone.split('-')[0], zone, ip: this.address(index + 1),
 		}));
+		for (const signal of ['SIGINT', 'SIGTERM']) {
+			process.once(signal, () => {
+				process.exit(2);
+			});
+		}
+
 		process.once('exit', () => {
 			for (const {child} of this.daemons.values()) {
 				child.kill('SIGCONT');
