A transfer is limited by its progress, not by a fixed time

Cause: the timeout of a call to the store, 800 ms, covered the whole response, which takes 0.93 s on such a link. Pulls between hosts and the store of the product's daemon had the same kind of limit.

Evidence: 26 to 28 log lines "no response within 800 ms" at each host while the store served all calls; the page needs longer than the timeout with the link to itself.

Change: the timeout holds until the head of the response. Then a hundredth of what the link carries must arrive in each window of that length, so that the time is bounded by the size, and a stopped response ends within one window. The revision tracker asks another source only when a pull has made no progress for 600 ms, and a pull that fails late no longer starts another beside the one in progress.

Cost: no call and no byte more; one timer for each hundredth of a second's worth of the link that arrives. Memory: a transfer that was cut off at 1.5 s may now be held longer; the size of a response is limited as before.

--- a/src/adapters/abort-scope.ts
+++ b/src/adapters/abort-scope.ts
@@ -17,7 +17,7 @@
 export class AbortScope {
 	readonly #signal = new ExchangeSignal();
 	readonly #cancelSignal: AbortSignal | undefined;
-	readonly #timer: NodeJS.Timeout;
+	#timer: NodeJS.Timeout;
 	readonly #onCancel: () => void;
 	#isOverdue = false;
 
@@ -27,10 +27,7 @@
 			this.#signal.abort();
 		};
 
-		this.#timer = setTimeout(() => {
-			this.#isOverdue = true;
-			this.#signal.abort();
-		}, Math.max(1, timeoutMs));
+		this.#timer = this.#startTimer(timeoutMs);
 		cancelSignal?.addEventListener('abort', this.#onCancel, {once: true});
 		if (cancelSignal?.aborted === true) {
 			this.#onCancel();
@@ -51,8 +48,21 @@
 		return this.#cancelSignal?.aborted === true;
 	}
 
+	/** Starts the timeout again, with another duration. */
+	restart(timeoutMs: number): void {
+		clearTimeout(this.#timer);
+		this.#timer = this.#startTimer(timeoutMs);
+	}
+
 	close(): void {
 		clearTimeout(this.#timer);
 		this.#cancelSignal?.removeEventListener('abort', this.#onCancel);
 	}
+
+	#startTimer(timeoutMs: number): NodeJS.Timeout {
+		return setTimeout(() => {
+			this.#isOverdue = true;
+			this.#signal.abort();
+		}, Math.max(1, timeoutMs));
+	}
 }
--- a/src/adapters/consul-store.ts
+++ b/src/adapters/consul-store.ts
@@ -2,6 +2,7 @@
 import {z} from 'zod';
 import {type Clock} from '../contracts/clock.js';
 import {type Store} from '../contracts/store.js';
+import {leastTransferRate} from '../decisions/least-transfer-rate.js';
 import {type Result} from '../result.js';
 import {httpExchange} from './http-exchange.js';
 import {PoolSet} from './pool-set.js';
@@ -11,7 +12,10 @@
 	readonly address: string;
 	/** Prefix of every key in the store. */
 	readonly prefix: string;
-	/** Timeout of a call, in addition to the wait time of a watch. */
+	/**
+	 * Timeout until the store begins to respond, in addition to the wait time of a watch, and of each window in which the body of the
+	 * response must make progress, in milliseconds.
+	 */
 	readonly timeoutMs: number;
 	readonly clock: Clock;
 	/** Called for each call with its kind, to count the calls, for which the platform charges. */
@@ -106,6 +110,7 @@
 			pool: this.#pools.get(this.#options.address),
 			...request,
 			headers: {},
+			bodyProgress: {windowMs: this.#options.timeoutMs, leastBytesPerMs: leastTransferRate(undefined)},
 			maxAnswerBytes,
 			startMs: this.#options.clock.nowMs(),
 		});
@@ -132,7 +137,7 @@
 
 			case 'overdue':
 			case 'cancelled': {
-				return {success: false, error: {code: 'lost_answer', message: `no response within ${request.timeoutMs} ms`}};
+				return {success: false, error: {code: 'lost_answer', message: `no complete response: ${result.kind}`}};
 			}
 
 			case 'broken':
--- a/src/adapters/http-exchange.ts
+++ b/src/adapters/http-exchange.ts
@@ -1,4 +1,5 @@
 import {createHash} from 'node:crypto';
+import {TransferProgress} from '../decisions/transfer-progress.js';
 import {AbortScope} from './abort-scope.js';
 import {type ConnectionPool} from './connection-pool.js';
 import {describeFailure} from './describe-failure.js';
@@ -13,8 +14,10 @@
 	readonly path: string;
 	readonly headers: Record<string, string>;
 	readonly body: Uint8Array | undefined;
-	/** Timeout of the whole exchange. */
+	/** Timeout of the whole exchange, or until the response's head if `bodyProgress` is given. */
 	readonly timeoutMs: number;
+	/** Progress that the response's body must make, whose length then does not matter; `onProgress` is called whenever it did. */
+	readonly bodyProgress?: ConstructorParameters<typeof TransferProgress>[0] & {readonly onProgress?: (() => void) | undefined};
 	readonly maxAnswerBytes: number;
 	readonly signal: AbortSignal | undefined;
 	/** Time at which the exchange starts, in monotonic milliseconds. */
@@ -33,7 +36,8 @@
 	| {readonly kind: 'too_large'}
 	/** The response belongs to another request or does not match its digest. */
 	| {readonly kind: 'broken'; readonly detail: string}
-	| {readonly kind: 'overdue'}
+	/** `receivedBytes` is the part of the body that was received; `undefined` if the head was not. */
+	| {readonly kind: 'overdue'; readonly receivedBytes: number | undefined}
 	| {readonly kind: 'cancelled'}
 	| {readonly kind: 'lost'; readonly detail: string};
 
@@ -50,6 +54,7 @@
 
 	const scope = new AbortScope(exchange.timeoutMs, exchange.signal);
 	let invalidStatus: string | undefined;
+	let receivedBytes: number | undefined;
 	try {
 		const res = await conn.client.request({
 			method: exchange.method,
@@ -62,7 +67,16 @@
 				invalidStatus ??= statusFault(statusCode);
 			},
 		});
-		const body = await readBody(withProgress(res.body, conn.markProgress), exchange.maxAnswerBytes);
+		const progress = exchange.bodyProgress === undefined ? undefined : new TransferProgress(exchange.bodyProgress);
+		const body = await readBody(withProgress(res.body, bytes => {
+			conn.markProgress();
+			const isHead = receivedBytes === undefined;
+			receivedBytes = (receivedBytes ?? 0) + bytes;
+			if (progress !== undefined && (isHead || progress.record(bytes))) {
+				scope.restart(exchange.bodyProgress!.windowMs);
+				exchange.bodyProgress!.onProgress?.();
+			}
+		}), exchange.maxAnswerBytes);
 		if (!body.success) {
 			exchange.pool.discard(conn);
 			return {kind: 'too_large'};
@@ -94,7 +108,7 @@
 		exchange.pool.discard(conn);
 		if (scope.isOverdue) {
 			exchange.pool.closeIdleSince(exchange.startMs);
-			return {kind: 'overdue'};
+			return {kind: 'overdue', receivedBytes};
 		}
 
 		if (scope.isCancelled) {
--- a/src/adapters/with-progress.ts
+++ b/src/adapters/with-progress.ts
@@ -1,8 +1,8 @@
-/** Yields the parts of a body; calls `markProgress` first, since the head has arrived, and before each part. */
-export async function * withProgress(body: AsyncIterable<Uint8Array>, markProgress: () => void): AsyncGenerator<Uint8Array, void> {
-	markProgress();
+/** Yields the parts of a body; calls `markProgress` first, since the head has arrived, and before each part with its size in bytes. */
+export async function * withProgress(body: AsyncIterable<Uint8Array>, markProgress: (bytes: number) => void): AsyncGenerator<Uint8Array, void> {
+	markProgress(0);
 	for await (const chunk of body) {
-		markProgress();
+		markProgress(chunk.byteLength);
 		yield chunk;
 	}
 }
--- a/src/decisions/revision-tracker.test.ts
+++ b/src/decisions/revision-tracker.test.ts
@@ -1,5 +1,7 @@
 import fc from 'fast-check';
-import {describe, expect, it} from 'vitest';
+import {
+	beforeEach, describe, expect, it,
+} from 'vitest';
 import {StoreWatchModel} from '../../test/store-watch-model.js';
 import {compareVersions} from './compare-versions.js';
 import {RevisionTracker} from './revision-tracker.js';
@@ -104,6 +106,39 @@
 		expect(model.watchers).toEqual(designated);
 	});
 
+	// Guards against several pulls of the same large changes at once, which share a narrow link until all of them fail.
+	describe('with pulls that take longer than their timeout', () => {
+		const pullsOf = (effects: ReturnType<RevisionTracker['tick']>) => effects.filter(effect => effect.kind === 'pull').map(({address}) => address);
+		const version = {era: 0, revision: 5};
+		let tracker: RevisionTracker;
+
+		beforeEach(() => {
+			tracker = new RevisionTracker(new SeededRandom(1), 0);
+			tracker.adopt({era: 0, revision: 1});
+			expect(pullsOf(tracker.recordVersion(version, 'a', 0))).toEqual(['a']);
+			tracker.recordVersion(version, 'b', 100);
+		});
+
+		it('starts no other pull while a response still arrives, however long it takes', () => {
+			for (let nowMs = 500; nowMs <= 20_000; nowMs += 500) {
+				tracker.recordPullProgress('a', nowMs);
+				expect(pullsOf(tracker.tick(nowMs + 400, 5))).toEqual([]);
+			}
+		});
+
+		it('pulls from the next source after a response has stopped', () => {
+			tracker.recordPullProgress('a', 5000);
+			expect(pullsOf(tracker.tick(5500, 5))).toEqual([]);
+			expect(pullsOf(tracker.tick(5700, 5))).toEqual(['b']);
+		});
+
+		it('keeps the pull in progress when an earlier one fails late', () => {
+			expect(pullsOf(tracker.tick(700, 5))).toEqual(['b']);
+			tracker.recordVersion(version, 'c', 800);
+			expect(pullsOf(tracker.recordPullFailure('a', 900))).toEqual([]);
+		});
+	});
+
 	// Guards against hosts that never read what a restored store has, since they saw a higher revision before.
 	describe('with a store that is restored', () => {
 		const at = (revision: number, era: number) => ({era, revision});
--- a/src/decisions/revision-tracker.ts
+++ b/src/decisions/revision-tracker.ts
@@ -33,7 +33,7 @@
 const maxStaggeredRanks = 3;
 /** Interval at which a host without contact probes, as a multiple of the watchers' interval. */
 const staleProbeFactor = 2;
-/** Time after which an unanswered pull counts as failed and the next peer is tried. */
+/** Time without progress of a pull after which it counts as failed and the next peer is tried. */
 const pullTimeoutMs = 600;
 /** Time for which a new host waits for updates from peers before it reads the store itself. */
 const storeReadDelayMs = 1500;
@@ -63,7 +63,7 @@
 	readonly #eras = new EraTracker();
 	#version: StoreVersion = {era: 0, revision: 0};
 	#newestReported: {version: StoreVersion; sources: string[]} = {version: {era: 0, revision: 0}, sources: []};
-	#pull: {readonly address: string; readonly startMs: number} | undefined;
+	#pull: {readonly address: string; readonly progressMs: number} | undefined;
 	#isWatching = false;
 	#isSubstitute = false;
 	#rank = Number.POSITIVE_INFINITY;
@@ -186,10 +186,20 @@
 		return rank < this.#rank ? this.#setSubstitute(false) : [];
 	}
 
-	/** Records that a pull failed or returned nothing usable, and tries the next source. */
+	/** Records that a part of the response to a pull arrived. */
+	recordPullProgress(address: string, nowMs: number): void {
+		if (this.#pull?.address === address) {
+			this.#pull = {address, progressMs: nowMs};
+		}
+	}
+
+	/** Records that a pull failed or returned nothing usable, and tries the next source unless another pull has begun. */
 	recordPullFailure(address: string, nowMs: number): Effect[] {
 		this.#newestReported.sources = this.#newestReported.sources.filter(source => source !== address);
-		this.#pull = undefined;
+		if (this.#pull?.address === address) {
+			this.#pull = undefined;
+		}
+
 		return this.#startPull(nowMs);
 	}
 
@@ -204,7 +214,7 @@
 			effects.push({kind: 'probe_store'});
 		}
 
-		if (this.#pull !== undefined && nowMs - this.#pull.startMs > pullTimeoutMs) {
+		if (this.#pull !== undefined && nowMs - this.#pull.progressMs > pullTimeoutMs) {
 			effects.push(...this.recordPullFailure(this.#pull.address, nowMs));
 		}
 
@@ -264,7 +274,7 @@
 		}
 
 		const address = this.#random.sample(this.#newestReported.sources, 1)[0]!;
-		this.#pull = {address, startMs: nowMs};
+		this.#pull = {address, progressMs: nowMs};
 		return [{kind: 'pull', address}];
 	}
 }
--- a/src/services/config-service.ts
+++ b/src/services/config-service.ts
@@ -118,7 +118,9 @@
 		const {peerClient, revisionTracker, clock, logger, metrics} = this.#options;
 		metrics.count('config_pulls');
 		try {
-			const response = await peerClient.control(address).pull.mutate({haveRevision: revisionTracker.revision});
+			const response = await peerClient.control(address, () => {
+				revisionTracker.recordPullProgress(address, clock.nowMs());
+			}).pull.mutate({haveRevision: revisionTracker.revision});
 			const pull = ConfigPull.parse(response);
 			const next = applyPull(pull, this.#current);
 			if (next.success) {
--- a/src/services/peer-client.ts
+++ b/src/services/peer-client.ts
@@ -5,6 +5,7 @@
 import {type Clock} from '../contracts/clock.js';
 import {type Outcome} from '../contracts/outcome.js';
 import {type RequestHead} from '../contracts/request-head.js';
+import {leastTransferRate} from '../decisions/least-transfer-rate.js';
 import {decodeForwardedOutcome} from './decode-forwarded-outcome.js';
 import {type PeerRouter} from './peer-router.js';
 import {type SteeringRouter} from './steering-router.js';
@@ -31,8 +32,10 @@
 const maxConnections = 512;
 /** Time beyond the deadline in which a peer may still report that the request did not run. */
 const responseMarginMs = 100;
-/** Time limit of a control call. */
+/** Time limit of a control call until the head of its response. */
 const controlTimeoutMs = 1500;
+/** Length of the windows in which the body of such a response must make progress. */
+const progressWindowMs = 600;
 /** Maximum size of the response to a control call; the largest response is a whole configuration. */
 const maxControlResponseBytes = 33_554_432;
 
@@ -40,12 +43,15 @@
 export class PeerClient {
 	readonly #clock: Clock;
 	readonly #maxResponseBytes: number;
+	readonly #leastBytesPerMs: number;
 	readonly #pools: PoolSet;
 	readonly #clients = new Map<string, TRPCClient<PeerRouter>>();
 
-	constructor(clock: Clock, maxResponseBytes: number) {
+	/** `linkMbps` is the bandwidth of this host's link, in megabits per second; `undefined` if it is not known. */
+	constructor(clock: Clock, maxResponseBytes: number, linkMbps?: number) {
 		this.#clock = clock;
 		this.#maxResponseBytes = maxResponseBytes;
+		this.#leastBytesPerMs = leastTransferRate(linkMbps);
 		this.#pools = new PoolSet({
 			clock, idleLimitMs, connectTimeoutMs, exchangeLimitMs, maxConnections,
 		});
@@ -56,14 +62,14 @@
 		return this.#pools.size;
 	}
 
-	/** Returns the typed client for control calls to the daemon at an address. */
-	control(address: string): TRPCClient<PeerRouter> {
-		return this.#client(address);
+	/** Returns the typed client for control calls to the daemon at an address. `onProgress` is called while the body of a response makes progress. */
+	control(address: string, onProgress?: () => void): TRPCClient<PeerRouter> {
+		return onProgress === undefined ? this.#client(address) : this.#createClient(address, onProgress);
 	}
 
-	/** Returns the typed client for control calls to a steering daemon, which serves published routes. */
-	steering(address: string): TRPCClient<SteeringRouter> {
-		return this.#client(address) as unknown as TRPCClient<SteeringRouter>;
+	/** Returns the typed client for control calls to a steering daemon, which serves published routes; `onProgress` as above. */
+	steering(address: string, onProgress?: () => void): TRPCClient<SteeringRouter> {
+		return this.control(address, onProgress) as unknown as TRPCClient<SteeringRouter>;
 	}
 
 	/** Forwards a request to another daemon. */
@@ -123,20 +129,24 @@
 	#client(address: string): TRPCClient<PeerRouter> {
 		let client = this.#clients.get(address);
 		if (client === undefined) {
-			client = createTRPCClient<PeerRouter>({
-				links: [httpLink({
-					url: `http://${address}/trpc`,
-					fetch: async (url, init) => this.#fetch(address, url as string, init as RequestInit),
-				})],
-			});
+			client = this.#createClient(address);
 			this.#clients.set(address, client);
 		}
 
 		return client;
 	}
 
+	#createClient(address: string, onProgress?: () => void): TRPCClient<PeerRouter> {
+		return createTRPCClient<PeerRouter>({
+			links: [httpLink({
+				url: `http://${address}/trpc`,
+				fetch: async (url, init) => this.#fetch(address, url as string, init as RequestInit, onProgress),
+			})],
+		});
+	}
+
 	/** Implements fetch for tRPC over the pooled connections, so that control calls also detect unresponsive connections. */
-	async #fetch(address: string, url: string, init: RequestInit): Promise<Response> {
+	async #fetch(address: string, url: string, init: RequestInit, onProgress: (() => void) | undefined): Promise<Response> {
 		const target = new URL(url);
 		const result = await httpExchange({
 			pool: this.#pools.get(address),
@@ -145,6 +155,7 @@
 			headers: {'content-type': 'application/json'},
 			body: init.body === undefined || init.body === null ? undefined : Buffer.from(init.body as string),
 			timeoutMs: controlTimeoutMs,
+			bodyProgress: {windowMs: progressWindowMs, leastBytesPerMs: this.#leastBytesPerMs, onProgress},
 			maxAnswerBytes: maxControlResponseBytes,
 			signal: init.signal ?? undefined,
 			startMs: this.#clock.nowMs(),
--- a/src/services/replica-service.ts
+++ b/src/services/replica-service.ts
@@ -235,7 +235,9 @@
 		const startMs = clock.nowMs();
 		try {
 			const {era: haveEra, revision: haveRevision} = this.items.version;
-			const pull = ItemPull.parse(await peerClient.steering(address).items.mutate({haveRevision, haveEra, acceptsGaps: true}));
+			const pull = ItemPull.parse(await peerClient.steering(address, () => {
+				revisionTracker.recordPullProgress(address, clock.nowMs());
+			}).items.mutate({haveRevision, haveEra, acceptsGaps: true}));
 			const {era = 0, isWhole, sinceRevision = isWhole ? 0 : haveRevision, gaps = isWhole ? [[0, pull.revision]] : []} = pull;
 			this.#noteEra(era, address);
 			const nowMs = clock.nowMs();
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -44,7 +44,7 @@
 
 /** Interfaces of the operators' platform: its store, the items in it, and its HTTP headers. */
 type SteeringPlatform = {
-	readonly openStore: (options: {readonly address: string; readonly timeoutMs: number; readonly clock: Clock; readonly onCall: (kind: string) => void}) => PrefixStore & {readonly close: () => void};
+	readonly openStore: (options: {readonly address: string; readonly timeoutMs: number; readonly linkMbps: number | undefined; readonly clock: Clock; readonly onCall: (kind: string) => void}) => PrefixStore & {readonly close: () => void};
 	readonly itemCodec: SteeringItemCodec;
 	readonly dialect: HttpDialect;
 };
@@ -104,7 +104,7 @@
 			name: 'prefixStore', requires: ['clock', 'metrics'], start({get, lifecycle}) {
 				const metrics = get('metrics');
 				const store = platform.openStore({
-					...settings.store, clock: get('clock'), onCall(kind) {
+					...settings.store, linkMbps: settings.capacity?.linkMbps, clock: get('clock'), onCall(kind) {
 						metrics.count('store_calls', {kind});
 					},
 				});
@@ -116,7 +116,7 @@
 		})
 		.add({
 			name: 'peerClient', requires: ['clock'], start({get, lifecycle}) {
-				const client = new PeerClient(get('clock'), maxPeerResponseBytes);
+				const client = new PeerClient(get('clock'), maxPeerResponseBytes, settings.capacity?.linkMbps);
 				lifecycle.every('sweep', sweepMs, () => {
 					client.sweep();
 				});
