Full reads of the store that are asked for at the same time share one call

At a start the bootstrap, the revision tracker and the watch each read all items. On a narrow link these reads share the bandwidth: with a configuration of 1 MB and 7 Mbit/s the tracker's next read, 2 s after the last, would begin before the others had ended. All now wait for the read in progress.

Cost: fewer calls to the store at a start. The test failed before (two calls for two requests).

--- a/src/services/store-reader.test.ts
+++ b/src/services/store-reader.test.ts
@@ -24,16 +24,20 @@
 	let watchedFrom: number[];
 	let eras: number[];
 	let abort: AbortController;
+	let lists: number;
 	const changes = (era: number, revision: number, ...written: StoreItem[]): WatchResult => ({success: true, data: {era, revision, changes: written.map(item => ({kind: 'written', item}))}});
 
 	beforeEach(() => {
 		items = new ItemReplica();
 		items.applyFullRead([itemAt('a', 80)], at(100, 1), 0);
-		[watchedFrom, eras, abort] = [[], [], new AbortController()];
+		[watchedFrom, eras, abort, lists] = [[], [], new AbortController(), 0];
 		const ignore = () => undefined;
 		reader = new StoreReader({
 			store: {
-				list: async () => ({success: true, data: listed}),
+				async list() {
+					lists++;
+					return {success: true, data: listed};
+				},
 				async watchPrefix(_prefix: string, afterRevision: number) {
 					watchedFrom.push(afterRevision);
 					const respond = responses.shift();
@@ -97,6 +101,15 @@
 		expect(watchedFrom).toEqual([100, 50, 130]);
 	});
 
+	// Guards against reads that begin again and again beside each other, which a narrow link then carries ever more slowly (RECOVER).
+	it('makes one call for all reads that are asked for while one is in progress', async () => {
+		listed = {...at(130, 1), items: [itemAt('a', 80)]};
+		expect(await Promise.all([reader.readAll(), reader.readAll()])).toEqual([at(130, 1), at(130, 1)]);
+		expect(lists).toBe(1);
+		await reader.readAll();
+		expect(lists).toBe(2);
+	});
+
 	it('drops a full read of an older era', async () => {
 		items.applyFullRead([itemAt('b', 40)], at(50, 2), 0);
 		listed = {...at(100, 1), items: [itemAt('a', 80)]};
--- a/src/services/store-reader.ts
+++ b/src/services/store-reader.ts
@@ -35,6 +35,7 @@
 /** Reads and watches the store's items for this host's replica. The era in each response decides whether it may be applied. */
 export class StoreReader {
 	readonly #options: ReaderOptions;
+	#reading: Promise<StoreVersion | undefined> | undefined;
 
 	constructor(options: ReaderOptions) {
 		this.#options = options;
@@ -80,8 +81,18 @@
 		}
 	}
 
-	/** Reads all items. Returns the version from which to watch, or `undefined` if the store does not respond or the read is of an older era. */
+	/**
+	 * Reads all items, or waits for a read in progress, since two of them would share the link. Returns the version from which to watch, or
+	 * `undefined` if the store does not respond or the read is of an older era.
+	 */
 	async readAll(): Promise<StoreVersion | undefined> {
+		this.#reading ??= this.#readOnce().finally(() => {
+			this.#reading = undefined;
+		});
+		return this.#reading;
+	}
+
+	async #readOnce(): Promise<StoreVersion | undefined> {
 		const {store, items, clock, logger, onChanges, onFullRead} = this.#options;
 		const startMs = clock.nowMs();
 		const read = await store.list('');
