A host sends its peers only as many large transfers at once as its link carries

Two watchers serve a region: with a large configuration all other hosts pulled it from them at the same time, each at a fraction of a narrow link, with a copy of the response in the watcher's memory for each. Now that a slow transfer goes on as long as it makes progress, they would all be slow together.

--- a/src/services/replica-service.test.ts
+++ b/src/services/replica-service.test.ts
@@ -8,6 +8,7 @@
 import {RevisionTracker} from '../decisions/revision-tracker.js';
 import {SeededRandom} from '../decisions/seeded-random.js';
 import {StoreOutage} from '../decisions/store-outage.js';
+import {TransferAdmission} from '../decisions/transfer-admission.js';
 import {Lifecycle} from '../kernel/lifecycle.js';
 import {type Logger} from './logger.js';
 import {type MembersService} from './members-service.js';
@@ -39,7 +40,9 @@
 			outage: new StoreOutage(2200),
 			clock: {nowMs: () => nowMs},
 			store: unreachableStore as PrefixStore,
-			logger: {info: () => undefined, warn: () => undefined, debug: () => undefined} as unknown as Logger,
+			logger: {
+				info: () => undefined, warn: () => undefined, debug: () => undefined, limited: () => undefined,
+			} as unknown as Logger,
 			metrics,
 			peerClient: {
 				steering: () => ({
@@ -52,6 +55,7 @@
 				}),
 			} as unknown as PeerClient,
 			seeds: [],
+			admission: new TransferAdmission({linkMbps: 10}),
 		});
 		replica.follow({
 			membership: {setVersion: () => [], delegateRank: () => 5},
@@ -94,6 +98,17 @@
 		});
 	});
 
+	it('refuses a second peer a large transfer until the first has ended, and gives small changes to all', () => {
+		replica.items.applyFullRead([{...itemAt('op', 2), value: 'x'.repeat(900_000)}], at(3), 0);
+		const ends: Array<() => void> = [];
+		const answer = (revision: number) => replica.answerPull({revision, era: 0}, true, listener => ends.push(listener));
+		expect(answer(0)?.items).toHaveLength(1);
+		expect(answer(0)).toBeUndefined();
+		expect(answer(3)?.items).toEqual([]);
+		ends[0]!();
+		expect(answer(0)?.items).toHaveLength(1);
+	});
+
 	describe('after a restore of the store', () => {
 		let changes: StoreChange[];
 		let eras: Array<readonly [number, number]>;
--- a/src/services/replica-service.ts
+++ b/src/services/replica-service.ts
@@ -5,6 +5,7 @@
 import {type RevisionTracker} from '../decisions/revision-tracker.js';
 import {ItemReplica} from '../decisions/item-replica.js';
 import {type StoreOutage} from '../decisions/store-outage.js';
+import {type TransferAdmission} from '../decisions/transfer-admission.js';
 import {compareVersions} from '../decisions/compare-versions.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
 import {describeCallError} from './describe-call-error.js';
@@ -25,6 +26,7 @@
 	readonly peerClient: PeerClient;
 	/** Addresses of daemons from which the items are pulled if the store does not respond at start. */
 	readonly seeds: readonly string[];
+	readonly admission: TransferAdmission;
 };
 
 type RevisionTrackerEffects = ReturnType<RevisionTracker['tick']>;
@@ -144,6 +146,25 @@
 		};
 	}
 
+	/**
+	 * Returns what `changesSince` does, or `undefined` if it is large and this host is sending as much as its link carries to other peers.
+	 * `onResponseEnd` registers a listener for the end of the response.
+	 */
+	answerPull(have: Parameters<typeof this.changesSince>[0], acceptsGaps: boolean, onResponseEnd: (listener: () => void) => void): ItemPull | undefined {
+		const {admission, clock, metrics, logger} = this.#options;
+		const pull = this.changesSince(have, acceptsGaps);
+		const bytes = pull.items.reduce((total, {key, value}) => total + key.length + value.length, 0);
+		const end = admission.admit(bytes, clock.nowMs());
+		if (end === undefined) {
+			metrics.count('replica_pulls_refused');
+			logger.limited('a peer is refused a large transfer while others are in progress', {bytes});
+			return undefined;
+		}
+
+		onResponseEnd(end);
+		return pull;
+	}
+
 	async #bootstrap(): Promise<void> {
 		while (!this.#isClosed && this.items.revision === 0) {
 			if (await this.#reader.readAll() !== undefined) {
--- a/src/services/steering-router.ts
+++ b/src/services/steering-router.ts
@@ -1,4 +1,4 @@
-import {initTRPC} from '@trpc/server';
+import {initTRPC, TRPCError} from '@trpc/server';
 import {z} from 'zod';
 import {PlacementReport} from '../contracts/placement-report.js';
 import {QuotaAsk} from '../contracts/quota-ask.js';
@@ -20,14 +20,26 @@
 	readonly quotas: QuotaService;
 };
 
+type CallContext = {
+	/** Registers a listener that is called once the response was sent, or its connection closed. */
+	readonly onResponseEnd: (listener: () => void) => void;
+};
+
 function createRouter(options: SteeringRouterOptions) {
-	const trpc = initTRPC.create();
+	const trpc = initTRPC.context<CallContext>().create();
 	return trpc.router({
 		...memberProcedures(options),
-		/** Returns the changes of the store's items that the caller does not have yet. */
+		/** Returns the changes of the store's items that the caller does not have yet. Large ones are refused while others fill this host's link. */
 		items: trpc.procedure
 			.input(z.object({haveRevision: z.int().min(0), haveEra: z.int().min(0).optional(), acceptsGaps: z.boolean().default(false)}))
-			.mutation(({input}) => options.replica.changesSince({revision: input.haveRevision, era: input.haveEra}, input.acceptsGaps)),
+			.mutation(({input, ctx}) => {
+				const pull = options.replica.answerPull({revision: input.haveRevision, era: input.haveEra}, input.acceptsGaps, ctx.onResponseEnd);
+				if (pull === undefined) {
+					throw new TRPCError({code: 'TOO_MANY_REQUESTS', message: 'other large transfers are in progress'});
+				}
+
+				return pull;
+			}),
 		/** Receives a host's report for its region's planner; returns the assignments that the host lacks. */
 		report: trpc.procedure.input(PlacementReport).mutation(({input}) => options.planner.receiveReport(input)),
 		/** Receives another region's load and offers for this region's planner. */
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -22,6 +22,7 @@
 import {RetryShare} from './decisions/retry-share.js';
 import {SeededRandom} from './decisions/seeded-random.js';
 import {StoreOutage} from './decisions/store-outage.js';
+import {TransferAdmission} from './decisions/transfer-admission.js';
 import {Kernel} from './kernel/kernel.js';
 import {IngressService} from './services/ingress-service.js';
 import {Logger} from './services/logger.js';
@@ -141,6 +142,7 @@
 				metrics: get('metrics'),
 				peerClient: get('peerClient'),
 				seeds: settings.seeds.filter(address => address !== settings.listen.peers),
+				admission: new TransferAdmission({linkMbps: settings.capacity?.linkMbps ?? Number.POSITIVE_INFINITY}),
 			}),
 		})
 		.add({name: 'instances', requires: [], start: () => new InstanceTable({regionOf: new Map(Object.entries(settings.zones))})})
