The failure detector finds many lost hosts as fast as one

Cause: each member probes one other in a period. When most are lost, those that are left look for them one after the other.

Change: a failed probe widens the search to 16 members in the next period, and to all if half of those fail. A message of a member that counts as suspected or dead shows that this process may have been cut off itself: it asks all such members, and withholds what it concluded about them until they could refute it. Without that the faster search took running hosts out of the views of others when a host came back from a cut.

--- a/src/decisions/membership.ts
+++ b/src/decisions/membership.ts
@@ -9,7 +9,9 @@
 import {MemberTable} from './member-table.js';
 import {type MembershipEffect} from './membership-effect.js';
 import {newsFor} from './news-for.js';
+import {ProbeBreadth} from './probe-breadth.js';
 import {ProbeTargets} from './probe-targets.js';
+import {RefutationWindow} from './refutation-window.js';
 import {RegionExchange} from './region-exchange.js';
 import {type SeededRandom} from './seeded-random.js';
 import {UpdateQueue} from './update-queue.js';
@@ -26,8 +28,10 @@
 type Probe = {
 	readonly key: string;
 	readonly seq: number;
-	readonly startMs: number;
+	startMs: number;
 	stage: 'direct' | 'repeated' | 'indirect';
+	/** Whether a time in which this process did not run was left out; once, so that a process that is always slow still detects failures. */
+	isExtended?: boolean;
 };
 
 /** Number of member updates in one datagram; keeps its size below 1,400 bytes. */
@@ -35,6 +39,8 @@
 const summariesPerMessage = 1;
 /** Number of members that are asked to probe a member that has not acknowledged a direct probe. */
 const indirectProbeCount = 3;
+/** Number of probes in progress from which only one member is asked for each: most of those asked are lost, too. */
+const manyProbes = 8;
 /** Number of random members that receive an update immediately. */
 const updateFanOutMembers = 3;
 /** Largest number of members of the region that a watcher or delegate notifies directly. */
@@ -45,6 +51,8 @@
 const tombstoneMs = 60_000;
 /** Age, in periods, from which a process may act for its region. */
 const minActingAgePeriods = 3;
+/** Time for members to refute what this process concluded while it may have been cut off, in periods; several round trips. */
+const refutationPeriods = 2;
 /** Shortest time between two exchanges of complete views with known members. */
 const minSyncIntervalMs = 5000;
 
@@ -62,10 +70,13 @@
 	readonly #targets: ProbeTargets;
 	readonly #queue = new UpdateQueue<MemberUpdate>();
 	readonly #regions: RegionExchange;
+	readonly #refutations: RefutationWindow;
 	/** Probes sent on behalf of other members, by the sequence number used here. */
 	readonly #relayedProbes = new Map<number, {readonly address: string; readonly seq: number; readonly expiresMs: number}>();
 	#listedAddresses: readonly string[] = [];
-	#probe: Probe | undefined;
+	readonly #breadth = new ProbeBreadth();
+	/** Probes in progress, by sequence number. */
+	readonly #probes = new Map<number, Probe>();
 	#nextProbeMs = 0;
 	#startMs: number | undefined;
 	#lastTickMs: number | undefined;
@@ -85,6 +96,7 @@
 			member: self, incarnation: 0, status: 'alive', isLeaving: false,
 		});
 		this.#targets = new ProbeTargets(this.#table, random);
+		this.#refutations = new RefutationWindow(refutationPeriods * options.periodMs);
 		this.#regions = new RegionExchange(self.region, random, () => this.#table.delegateOrder());
 	}
 
@@ -101,6 +113,11 @@
 		return this.#table.self.isLeaving;
 	}
 
+	/** Largest number of members that are probed in the present period. */
+	get probeBreadth(): number {
+		return this.#breadth.count;
+	}
+
 	/** Returns the members of the region that are considered alive, including this one, in the same order at every member. */
 	alive(): readonly Member[] {
 		return this.#table.alive();
@@ -121,9 +138,9 @@
 		return key === this.#selfKey ? 'alive' : this.#table.get(key)?.status;
 	}
 
-	/** Returns the entries of all members of the region. */
+	/** Returns the entries of all members of the region, without those that are withheld. */
 	updates(): MemberUpdate[] {
-		return this.#table.updates();
+		return this.#table.updates().filter(({member}) => !this.#refutations.isWithheld(memberKey(member)));
 	}
 
 	/** Returns the known hosts of another region. */
@@ -228,9 +245,11 @@
 		return update?.status === 'alive' ? this.#suspect(update, nowMs) : [];
 	}
 
-	/** Merges the complete view of another daemon. */
+	/** Merges the complete view of another daemon, whose own entry comes first. */
 	merge(updates: readonly MemberUpdate[], nowMs: number): MembershipEffect[] {
-		return updates.flatMap(update => this.#apply(update, nowMs));
+		const [sender] = updates;
+		const contests = sender === undefined ? [] : this.#contest(memberKey(sender.member), nowMs);
+		return [...contests, ...updates.flatMap(update => this.#apply(update, nowMs))];
 	}
 
 	/** Advances the failure detector; must be called several times per period. */
@@ -240,13 +259,15 @@
 			effects.push(...this.#resumeAfterPause(nowMs));
 		}
 
+		this.#extendProbes(nowMs);
 		this.#lastTickMs = nowMs;
 		this.#startMs ??= nowMs;
 		this.#endWaitWithoutPeers(nowMs);
-		effects.push(...this.#expire(nowMs), ...this.#advanceProbe(nowMs));
+		this.#releaseConclusions(nowMs);
+		effects.push(...this.#expire(nowMs), ...this.#advanceProbes(nowMs));
 		if (nowMs >= this.#nextProbeMs) {
 			this.#nextProbeMs = nowMs + this.#options.periodMs;
-			effects.push(...this.#startProbe(nowMs), ...(this.isDelegate() ? this.#sendToRegions(this.#regions.nextMessages()) : []));
+			effects.push(...this.#startProbes(nowMs), ...(this.isDelegate() ? this.#sendToRegions(this.#regions.nextMessages()) : []));
 		}
 
 		return effects;
@@ -258,7 +279,8 @@
 			return [];
 		}
 
-		const effects = message.updates.flatMap(update => this.#apply(update, nowMs));
+		const effects = this.#contest(message.from, nowMs);
+		effects.push(...message.updates.flatMap(update => this.#apply(update, nowMs)));
 		for (const summary of message.summaries) {
 			effects.push(...this.#applySummary(summary, nowMs));
 		}
@@ -316,10 +338,11 @@
 			return [this.#send(relay.address, {kind: 'ack', seq: relay.seq, ...this.#commonFields()})];
 		}
 
-		const probe = this.#probe;
-		if (probe?.seq === seq) {
+		const probe = this.#probes.get(seq);
+		if (probe !== undefined) {
 			this.#targets.clearFailure(probe.key);
-			this.#probe = undefined;
+			this.#probes.delete(seq);
+			this.#breadth.recordSuccess();
 			if (this.#resumedMs !== undefined && probe.startMs >= this.#resumedMs && nowMs >= probe.startMs) {
 				this.#resumedMs = undefined;
 				return [{kind: 'changed'}];
@@ -361,23 +384,24 @@
 		return [{kind: 'sync', address: message.address}];
 	}
 
-	/** Probes one member or, if none is known, an address from the host list. */
-	#startProbe(nowMs: number): MembershipEffect[] {
-		const key = this.#targets.next();
-		const seq = this.#nextSeq();
-		if (key === undefined) {
+	/** Probes as many members as are due or, if none is known, an address from the host list. */
+	#startProbes(nowMs: number): MembershipEffect[] {
+		const keys = this.#targets.next(this.#breadth.next());
+		if (keys.length === 0) {
 			const listedAddress = this.#random.sample(this.#listedAddresses, 1)[0];
 			return listedAddress === undefined
 				? []
-				: [this.#send(listedAddress, {
-					kind: 'ping', seq, to: '', ...this.#commonFields(),
-				})];
+				: [this.#pingAddress(listedAddress)];
 		}
 
-		this.#probe = {
-			key, seq, startMs: nowMs, stage: 'direct',
-		};
-		return [...this.#ping(this.#probe), ...this.#probeUnknownAddress()];
+		const pings = keys.flatMap(key => {
+			const probe: Probe = {
+				key, seq: this.#nextSeq(), startMs: nowMs, stage: 'direct',
+			};
+			this.#probes.set(probe.seq, probe);
+			return this.#ping(probe);
+		});
+		return [...pings, ...this.#probeUnknownAddress()];
 	}
 
 	/** Occasionally probes a listed address that belongs to no known member, so that the sides of a partition find each other again. */
@@ -388,20 +412,36 @@
 
 		const known = new Set(this.#table.updates().filter(update => update.status !== 'dead').map(update => update.member.peers));
 		const unknownAddresses = this.#listedAddresses.filter(address => !known.has(address));
-		return this.#random.sample(unknownAddresses, 1).map(address => this.#send(address, {
-			kind: 'ping', seq: this.#nextSeq(), to: '', ...this.#commonFields(),
-		}));
+		return this.#random.sample(unknownAddresses, 1).map(address => this.#pingAddress(address));
 	}
 
-	#advanceProbe(nowMs: number): MembershipEffect[] {
-		const probe = this.#probe;
-		if (probe === undefined) {
-			return [];
+	/** Probes whatever process listens at an address. If others are suspected or dead, it is told nothing about them, for the same reason as a suspect. */
+	#pingAddress(address: string): MembershipEffect {
+		const fields = this.#table.suspectsAndDead.size > 0 ? {...this.#commonFields(0), updates: [this.#table.self]} : this.#commonFields();
+		return this.#send(address, {
+			kind: 'ping', seq: this.#nextSeq(), to: '', ...fields,
+		});
+	}
+
+	/** Does not count the time in which this process did not run: acknowledgements may have arrived that it has not read. */
+	#extendProbes(nowMs: number): void {
+		const gapMs = nowMs - (this.#lastTickMs ?? nowMs);
+		if (gapMs >= this.#options.periodMs / 2) {
+			for (const probe of this.#probes.values()) {
+				probe.startMs += probe.isExtended === true ? 0 : gapMs;
+				probe.isExtended = true;
+			}
 		}
+	}
+
+	#advanceProbes(nowMs: number): MembershipEffect[] {
+		return [...this.#probes.values()].flatMap(probe => this.#advanceProbe(probe, nowMs));
+	}
 
+	#advanceProbe(probe: Probe, nowMs: number): MembershipEffect[] {
 		const ageMs = nowMs - probe.startMs;
 		if (ageMs >= this.#options.periodMs * 0.9) {
-			this.#probe = undefined;
+			this.#probes.delete(probe.seq);
 			return this.#failProbe(probe, nowMs);
 		}
 
@@ -421,8 +461,12 @@
 	/** Records a failed probe; the second consecutive failure raises a suspicion. */
 	#failProbe(probe: Probe, nowMs: number): MembershipEffect[] {
 		const update = this.#table.updateOf(probe.key);
-		const isSuspicious = update?.status === 'alive' && this.#targets.recordFailure(probe.key);
-		return isSuspicious ? this.#suspect(update, nowMs) : [];
+		if (update?.status !== 'alive') {
+			return [];
+		}
+
+		this.#breadth.recordFailure();
+		return this.#targets.recordFailure(probe.key) ? this.#suspect(update, nowMs) : [];
 	}
 
 	/** Suspects a member and notifies it immediately, so that it can refute the suspicion before it expires. */
@@ -439,10 +483,10 @@
 			return [];
 		}
 
-		const common = this.#commonFields();
-		const updates = target.status === 'suspect' ? [target, ...common.updates.slice(1)] : common.updates;
+		// A suspect may be on the other side of a cut, where all else that this process knows may be wrong.
+		const fields = target.status === 'suspect' ? {...this.#commonFields(0), updates: [target, this.#table.self]} : this.#commonFields();
 		return [this.#send(target.member.peers, {
-			kind: 'ping', seq: probe.seq, to: probe.key, ...common, updates,
+			kind: 'ping', seq: probe.seq, to: probe.key, ...fields,
 		})];
 	}
 
@@ -452,7 +496,8 @@
 			return [];
 		}
 
-		const relays = this.#random.sample(this.#table.aliveOthers().filter(member => memberKey(member) !== probe.key), indirectProbeCount);
+		const relayCount = this.#probes.size > manyProbes ? 1 : indirectProbeCount;
+		const relays = this.#random.sample(this.#table.aliveOthers().filter(member => memberKey(member) !== probe.key), relayCount);
 		return relays.map(relay => this.#send(relay.peers, {
 			kind: 'ping-req', seq: probe.seq, target: probe.key, targetAddress: target.member.peers, ...this.#commonFields(),
 		}));
@@ -468,6 +513,7 @@
 				effects.push(...this.#apply({...update, status: 'dead'}, nowMs));
 			} else if (update.status === 'dead' && nowMs - changedMs >= tombstoneMs) {
 				this.#table.evict(key);
+				this.#refutations.clear(key);
 			}
 		}
 
@@ -491,6 +537,7 @@
 		}
 
 		this.#queue.add(key, update);
+		this.#refutations.clear(key);
 		this.#targets.clearFailure(key);
 		this.#endReplacedProcesses(update, nowMs);
 		return [{kind: 'changed'}];
@@ -539,12 +586,40 @@
 	/** Announces a new incarnation after a pause, because other members may have declared this process dead. */
 	#resumeAfterPause(nowMs: number): MembershipEffect[] {
 		this.#resumedMs = nowMs;
-		this.#probe = undefined;
+		this.#probes.clear();
 		this.#nextProbeMs = nowMs;
 		this.#setSelf(this.incarnation + 1, this.isLeaving);
 		return [{kind: 'changed'}, ...this.#sendUpdates()];
 	}
 
+	/**
+	 * A message of a member that counts as suspected or dead here shows that this process may have been cut off from others, too. It asks all of
+	 * them, so that those that live refute what it concluded, and withholds it until then.
+	 */
+	#contest(sender: string, nowMs: number): MembershipEffect[] {
+		if (!this.#table.suspectsAndDead.has(sender)) {
+			return [];
+		}
+
+		return this.#refutations.open([...this.#table.suspectsAndDead], nowMs).flatMap(key => {
+			this.#queue.remove(key);
+			const update = this.#table.updateOf(key)!;
+			return [this.#send(update.member.peers, {
+				kind: 'ping', seq: this.#nextSeq(), to: key, ...this.#commonFields(0), updates: [update, this.#table.self],
+			})];
+		});
+	}
+
+	/** Spreads the withheld conclusions that were not refuted in time. */
+	#releaseConclusions(nowMs: number): void {
+		for (const key of this.#refutations.release(nowMs)) {
+			const update = this.#table.updateOf(key);
+			if (update !== undefined) {
+				this.#queue.add(key, update);
+			}
+		}
+	}
+
 	/** Ends the wait for an acknowledgement after a pause once a suspicion would have expired, if no other member is alive. */
 	#endWaitWithoutPeers(nowMs: number): void {
 		const limitMs = this.#options.suspicionPeriods * this.#options.periodMs;
--- a/src/decisions/probe-targets.ts
+++ b/src/decisions/probe-targets.ts
@@ -1,9 +1,12 @@
 import {type MemberTable} from './member-table.js';
 import {type SeededRandom} from './seeded-random.js';
 
+/** Largest number of suspects that are probed in one period, so that they can refute the suspicion. */
+const maxSuspects = 16;
+
 /**
- * Selects the member that the failure detector probes next: first a member whose last probe failed, then, on every
- * other call, a suspect, and otherwise each member once per round in random order.
+ * Selects the members that the failure detector probes next: first those whose last probe failed, then, on every
+ * other call, suspects, and otherwise each member once per round in random order.
  */
 export class ProbeTargets {
 	readonly #table: MemberTable;
@@ -17,9 +20,29 @@
 		this.#random = random;
 	}
 
-	/** Returns the key of the next member to probe, or `undefined` if there is none. */
-	next(): string | undefined {
-		return this.#nextFailedOnce() ?? this.#nextSuspect() ?? this.#nextOfRound() ?? this.#nextOfNewRound();
+	/** Returns the keys of the members to probe in this period: `count` of them, or more if several are suspected; none if no other is known. */
+	next(count: number): readonly string[] {
+		const keys = new Set(this.#allFailedOnce().slice(0, count));
+		if (keys.size < count) {
+			for (const key of this.#someSuspects()) {
+				keys.add(key);
+			}
+		}
+
+		let isNewRound = false;
+		while (keys.size < count) {
+			const key = this.#nextOfRound();
+			if (key !== undefined) {
+				keys.add(key);
+			} else if (isNewRound) {
+				break;
+			} else {
+				this.#startRound();
+				isNewRound = true;
+			}
+		}
+
+		return [...keys];
 	}
 
 	/** Records a failed probe; returns whether it is the second consecutive failure of the member. */
@@ -37,22 +60,20 @@
 		this.#failedOnce.delete(key);
 	}
 
-	#nextFailedOnce(): string | undefined {
+	#allFailedOnce(): string[] {
 		for (const key of this.#failedOnce) {
-			if (this.#table.get(key)?.status === 'alive') {
-				return key;
+			if (this.#table.get(key)?.status !== 'alive') {
+				this.#failedOnce.delete(key);
 			}
-
-			this.#failedOnce.delete(key);
 		}
 
-		return undefined;
+		return [...this.#failedOnce];
 	}
 
-	#nextSuspect(): string | undefined {
+	#someSuspects(): string[] {
 		this.#isSuspectTurn = !this.#isSuspectTurn;
 		const suspects = this.#isSuspectTurn ? [...this.#table.suspectsAndDead].filter(key => this.#table.get(key)?.status === 'suspect') : [];
-		return this.#random.sample(suspects, 1)[0];
+		return this.#random.sample(suspects, maxSuspects);
 	}
 
 	#nextOfRound(): string | undefined {
@@ -66,9 +87,8 @@
 		return undefined;
 	}
 
-	#nextOfNewRound(): string | undefined {
+	#startRound(): void {
 		const keys = this.#table.keys();
 		this.#round = this.#random.sample(keys, keys.length);
-		return this.#nextOfRound();
 	}
 }
--- a/src/decisions/update-queue.ts
+++ b/src/decisions/update-queue.ts
@@ -12,6 +12,11 @@
 		this.#items.set(key, {item, timesSent: 0});
 	}
 
+	/** Removes the update of a key, if there is one. */
+	remove(key: string): void {
+		this.#items.delete(key);
+	}
+
 	/** Returns up to `count` updates to send, the least often sent first. Each update is removed after it was returned `sendLimit` times. */
 	take(count: number, sendLimit: number): T[] {
 		const chosen = [...this.#items].toSorted((a, b) => a[1].timesSent - b[1].timesSent).slice(0, count);
--- a/src/services/members-service.ts
+++ b/src/services/members-service.ts
@@ -46,6 +46,7 @@
 	readonly #owners = new Map<string, Member>();
 	#listedAddresses: ReadonlySet<string> = new Set();
 	#pollCount = 0;
+	#probeBreadth = 1;
 	#isClosed = false;
 
 	constructor(options: MembersOptions) {
@@ -73,6 +74,7 @@
 		await this.#readHostList();
 		lifecycle.every('membership tick', this.#options.tickMs, () => {
 			this.run(this.membership.tick(this.#options.clock.nowMs()));
+			this.#logProbeBreadth();
 		});
 		lifecycle.every('host list', this.#options.hostListPollMs, () => {
 			this.#pollCount++;
@@ -194,6 +196,15 @@
 		}
 	}
 
+	#logProbeBreadth(): void {
+		const {probeBreadth} = this.membership;
+		if (probeBreadth > this.#probeBreadth) {
+			this.#options.logger.limited('members do not respond to probes; more of them are probed at once', {atMost: probeBreadth, alive: this.membership.alive().length});
+		}
+
+		this.#probeBreadth = probeBreadth;
+	}
+
 	#receive(data: Uint8Array): void {
 		const {metrics, clock} = this.#options;
 		metrics.count('gossip_received_bytes', {}, data.byteLength + datagramHeaderBytes);
--- a/stand-ins/simulated-network.ts
+++ b/stand-ins/simulated-network.ts
@@ -20,6 +20,8 @@
 	readonly seed: number;
 	/** Share of datagrams that are lost, from 0 to 1. */
 	readonly loss?: number;
+	/** Settings of the failure detector. */
+	readonly timing?: ConstructorParameters<typeof Membership>[0];
 	/** Called with the effects of a node's membership that are neither messages nor exchanges of views. */
 	readonly onEffect?: (index: number, effect: MembershipEffect) => void;
 	/** Returns a datagram as it is after the wire between two nodes; unchanged by default. */
@@ -28,7 +30,7 @@
 
 type MembershipEffect = ReturnType<Membership['tick']>[number];
 
-const membershipOptions = {
+const defaultTiming = {
 	periodMs: 1000, probeTimeoutMs: 300, suspicionPeriods: 3, pauseLimitMs: 2000,
 };
 const tickMs = 50;
@@ -44,16 +46,18 @@
 	#lastOrder = 0;
 	#startedProcesses = 0;
 	#loss: number;
+	readonly #timing: NonNullable<NetworkOptions['timing']>;
 	readonly #onEffect: NetworkOptions['onEffect'];
 	readonly #convey: NonNullable<NetworkOptions['convey']>;
 
 	constructor({
-		regions, seed, loss = 0, onEffect, convey = message => message,
+		regions, seed, loss = 0, timing = defaultTiming, onEffect, convey = message => message,
 	}: NetworkOptions) {
 		this.#onEffect = onEffect;
 		this.#convey = convey;
 		this.#random = new SeededRandom(seed);
 		this.#loss = loss;
+		this.#timing = timing;
 		for (const [region, count] of Object.entries(regions)) {
 			for (let index = 0; index < count; index++) {
 				this.nodes.push({
@@ -145,7 +149,7 @@
 		const self: Member = {
 			id: `${region}-${index}`, boot: String(this.#startedProcesses), region, zone: `${region}-${index % 2}`, callers: address, peers: address,
 		};
-		return new Membership(membershipOptions, self, new SeededRandom(this.#random.below(1_000_000)));
+		return new Membership(this.#timing, self, new SeededRandom(this.#random.below(1_000_000)));
 	}
 
 	#setListedAddresses(): void {
