Long uploads are identified by all of their bytes

Cause: the fingerprint of a streamed body had only service, method and path. A complete response to any other upload cleared the crash reports.

Evidence: no daemon logged "request quarantined", though different instances were lost every 3 s; with bodies of 60,000 bytes, which are not streamed, the rule holds.

Change: a streamed body is digested while it passes. A crash is reported under the digest of the whole request, and under one of its first 64 KB, which refuses nothing: a body that begins alike is held before any of it is sent, as far as memory and time allow, or else passed on but for its last part. The client's account is part of the fingerprint. Crash reports that have lapsed start anew.

--- a/src/decisions/quarantine.ts
+++ b/src/decisions/quarantine.ts
@@ -1,4 +1,6 @@
-/** Crash reports of one request. */
+import {fingerprintKinds} from './fingerprint-kinds.js';
+
+/** Crash reports of one request, or of requests that begin alike. */
 type CrashReports = {
 	readonly fingerprint: string;
 	readonly service: string;
@@ -19,15 +21,21 @@
 
 /**
  * Refuses requests that crash the instances that run them. A request is refused after two different instances were lost
- * while running it, so that a single faulty instance cannot cause a refusal. A complete response clears the request.
+ * while running it, so that a single faulty instance cannot cause a refusal. A complete response clears the request. Requests that only begin like
+ * one of these are not refused, but suspect.
  */
 export class Quarantine {
 	readonly #reports = new Map<string, CrashReports>();
 
 	/** Returns whether a request must be refused. */
 	isBlocked(fingerprint: string, nowMs: number): boolean {
-		const reports = this.#reports.get(fingerprint);
-		return reports !== undefined && reports.instances.length >= quarantineInstanceCount && nowMs - reports.sinceMs < retentionMs;
+		const reports = this.#current(fingerprint, nowMs);
+		return reports !== undefined && reports.instances.length >= quarantineInstanceCount && fingerprintKinds.kindOf(fingerprint) !== 'beginning';
+	}
+
+	/** Returns whether any instance was lost while it ran a request with this fingerprint. */
+	isSuspect(fingerprint: string, nowMs: number): boolean {
+		return this.#current(fingerprint, nowMs) !== undefined;
 	}
 
 	/** Returns the instances that were lost while they ran a request. */
@@ -37,7 +45,7 @@
 
 	/** Records that instances were lost while they ran a request; returns whether any of them was not known before. */
 	recordCrash(fingerprint: string, service: string, instances: readonly string[], nowMs: number): boolean {
-		const reports = this.#reports.get(fingerprint);
+		const reports = this.#current(fingerprint, nowMs);
 		const all = [...new Set([...(reports?.instances ?? []), ...instances])].slice(0, maxLostInstances);
 		if (reports?.instances.length === all.length) {
 			return false;
@@ -64,4 +72,9 @@
 	blocked(nowMs: number): readonly CrashReports[] {
 		return [...this.#reports.values()].filter(reports => this.isBlocked(reports.fingerprint, nowMs));
 	}
+
+	#current(fingerprint: string, nowMs: number): CrashReports | undefined {
+		const reports = this.#reports.get(fingerprint);
+		return reports !== undefined && nowMs - reports.sinceMs < retentionMs ? reports : undefined;
+	}
 }
--- a/src/services/fingerprint-of.ts
+++ b/src/services/fingerprint-of.ts
@@ -1,16 +1,12 @@
-import {createHash} from 'node:crypto';
+import {RequestDigest} from './request-digest.js';
 
-type FingerprintedRequest = {
-	readonly service: string;
-	readonly method: string;
-	/** Path and query. */
-	readonly path: string;
-	/** `undefined` for a body that is streamed and not buffered. */
+type FingerprintedRequest = ConstructorParameters<typeof RequestDigest>[0] & {
+	/** `undefined` for a request without a body. */
 	readonly body: Uint8Array | undefined;
 };
 
-/** Returns a digest of service, method, path and body, which identifies requests that crash upstreams. */
-export function fingerprintOf({service, method, path, body}: FingerprintedRequest): string {
-	const hash = createHash('sha256').update(`${service}\n${method}\n${path}\n`);
-	return (body === undefined ? hash : hash.update(body)).digest('base64url');
+/** Returns the fingerprint of a request whose body is known, which identifies requests that crash upstreams. */
+export function fingerprintOf({body, ...head}: FingerprintedRequest): string {
+	const digest = new RequestDigest(head);
+	return (body === undefined ? digest : digest.update(body)).value();
 }
--- a/src/services/ingress-service.ts
+++ b/src/services/ingress-service.ts
@@ -208,8 +208,8 @@
 				target: req.url!,
 				headers: req.rawHeaders,
 				arrivedMs,
-				readBody: async maxBufferedBytes => (await memory.admit(inFlightBytes)
-					? readRequestBody(req, {maxBufferedBytes, maxBodyBytes: this.#limits.maxBodyBytes, memory})
+				readBody: async options => (await memory.admit(inFlightBytes)
+					? readRequestBody(req, {...options, maxBodyBytes: this.#limits.maxBodyBytes, memory})
 					: {kind: 'no_memory'}),
 				waitForTurn: async maxAhead => pipeline.turn(exchange, maxAhead, () => memory.isFull),
 				tryHold: bytes => memory.tryHold(bytes),
--- a/src/services/proxy-request.ts
+++ b/src/services/proxy-request.ts
@@ -10,8 +10,11 @@
 	readonly headers: readonly string[];
 	/** Monotonic time at which the request's head was read. */
 	readonly arrivedMs: number;
-	/** Reads the body: as one buffer up to `maxBytes`, otherwise as a stream of the whole body. */
-	readonly readBody: (maxBytes: number) => Promise<ProxyBody>;
+	/**
+	 * Reads the body: as one buffer up to `maxBufferedBytes`, otherwise as a stream of the whole body. `shouldHold` is called with the beginning of
+	 * a longer one, which has more than `maxBufferedBytes`; if it returns true, that is read as one buffer, too, unless there is no room for it or it takes longer than `holdMs` milliseconds.
+	 */
+	readonly readBody: (options: {readonly maxBufferedBytes: number; readonly shouldHold: (start: Uint8Array) => boolean; readonly holdMs: number}) => Promise<ProxyBody>;
 	/** Records that more bytes of a response are held for the client; returns whether there is room for more. Without it there always is. */
 	readonly tryHold?: ((bytes: number) => boolean) | undefined;
 	/** Resolves with `true` when at most `maxAhead` requests that the client sent before this one have no response yet; with `false` if there will be no response to this one. */
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -10,7 +10,6 @@
 import {isOverBefore} from '../decisions/is-over-before.js';
 import {RequestAttempts} from '../decisions/request-attempts.js';
 import {AccountCheck} from './accounts/account-check.js';
-import {fingerprintOf} from './fingerprint-of.js';
 import {type Logger} from './logger.js';
 import {type LoopTurns} from './loop-turns.js';
 import {type Metrics} from './metrics.js';
@@ -21,11 +20,11 @@
 import {type QuarantineService} from './quarantine-service.js';
 import {type QuotaService} from './quotas/quota-service.js';
 import {RequestQuota} from './quotas/request-quota.js';
+import {readIdentifiedBody} from './read-identified-body.js';
 import {RequestLog} from './request-log.js';
 import {type AttemptObserver} from './attempt-observer.js';
 import {type SteeringService} from './steering-service.js';
 import {toAttemptResult} from './to-attempt-result.js';
-import {toCallBody} from './to-call-body.js';
 import {toUnknownReason} from './to-unknown-reason.js';
 
 type ProxyOptions = {
@@ -36,7 +35,7 @@
 	readonly placement: Placement;
 	readonly client: Pick<InstanceClient, 'send'>;
 	readonly retries: RetryShare;
-	readonly quarantine: Pick<QuarantineService, 'isBlocked' | 'reportCrash' | 'clearAfterResponse'>;
+	readonly quarantine: Pick<QuarantineService, 'isBlocked' | 'isSuspect' | 'reportCrash' | 'clearAfterResponse'>;
 	readonly planner: Pick<PlannerService, 'recordRequest'>;
 	readonly turns: Pick<LoopTurns, 'next'>;
 	readonly observer: AttemptObserver;
@@ -56,8 +55,7 @@
 	readonly service: string;
 	/** Scoped key of the object that the request concerns. */
 	readonly objectKey: string | undefined;
-	readonly body: SendableBody;
-	readonly fingerprint: string;
+	readonly body: Extract<Awaited<ReturnType<typeof readIdentifiedBody>>, {kind: 'read'}>['body'];
 	readonly deadlineMs: number;
 	readonly attempts: RequestAttempts;
 	readonly triedInstanceIds: Set<string>;
@@ -68,15 +66,14 @@
 type Admitted = Extract<Admission, {kind: 'admitted'}>;
 /** What determined a refusal for lack of capacity: by how much the expected wait is too long, the time until the deadline, and the usual run time. */
 type BusyFigures = {readonly excessWaitMs: number; readonly remainingMs: number; readonly usualRunMs: number};
-type SendableBody = Parameters<typeof toCallBody>[0];
 /** Choice that names no instance. */
 type NoInstance = Exclude<ReturnType<Placement['choose']>, {kind: 'instance'}>;
 type InstanceEntry = NonNullable<ReturnType<InstanceTable['get']>>;
 
-/** Request bodies up to this size are buffered, so that they can be sent again. */
-const maxBufferedBodyBytes = 65_536;
 /** Number of requests of one connection that are sent on at the same time. */
 const maxPipelined = 16;
+/** Time for which the rest of a body is read after the instance was lost, to identify the request; the client is sending it anyway. */
+const maxRestReadMs = 1000;
 const notReadyRetryAfterMs = 500;
 /** Base of the time after which a client should retry, by the reason why its request did not run. */
 const baseRetryAfterMs = {
@@ -86,7 +83,6 @@
 /** Up to this share of the time is added at random, so that clients do not retry all at once. */
 const retryJitterShare = 0.5;
 const quarantinedRetryAfterMs = 60_000;
-const noMemoryRetryAfterMs = 1000;
 
 /** Forwards clients' requests for published routes to instances, retries them within bounds, and returns their outcomes. */
 export class ProxyService {
@@ -172,17 +168,17 @@
 			return {kind: 'unknown', reason: 'cancelled'};
 		}
 
-		const body = await req.readBody(maxBufferedBodyBytes);
-		if (body.kind === 'too_large') {
-			return {kind: 'invalid', reason: 'body_too_large'};
-		}
-
-		if (body.kind === 'no_memory') {
-			return {kind: 'not_run', reason: 'no_memory', retryAfterMs: noMemoryRetryAfterMs};
-		}
-
-		if (body.kind === 'broken') {
-			return {kind: 'invalid', reason: 'broken_off'};
+		const deadlineMs = req.arrivedMs + Math.min(req.remainingMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
+		const read = await readIdentifiedBody({
+			req,
+			head: {
+				service, method: req.method, path: req.target, account: admission.account?.name,
+			},
+			quarantine,
+			remainingMs: deadlineMs - this.#options.clock.nowMs(),
+		});
+		if (read.kind === 'failed') {
+			return read.outcome;
 		}
 
 		// The account may have lost its key while the request waited or its body arrived.
@@ -191,10 +187,7 @@
 			return latest.outcome;
 		}
 
-		const fingerprint = fingerprintOf({
-			service, method: req.method, path: req.target, body: body.kind === 'whole' ? body.bytes : undefined,
-		});
-		if (quarantine.isBlocked(fingerprint)) {
+		if (quarantine.isBlocked(read.body.fingerprint)) {
 			return {kind: 'not_run', reason: 'quarantined', retryAfterMs: quarantinedRetryAfterMs};
 		}
 
@@ -211,10 +204,9 @@
 			admission: latest,
 			service,
 			objectKey,
-			body,
-			fingerprint,
-			deadlineMs: req.arrivedMs + Math.min(req.remainingMs ?? Number.POSITIVE_INFINITY, route.timeoutMs),
-			attempts: new RequestAttempts({isRepeatable: route.isRepeatable && body.kind !== 'stream', maxAttempts: route.maxAttempts}),
+			body: read.body,
+			deadlineMs,
+			attempts: new RequestAttempts({isRepeatable: route.isRepeatable && !read.body.isStreamed, maxAttempts: route.maxAttempts}),
 			triedInstanceIds: new Set(),
 			quota: new RequestQuota(this.#options.quotas, latest.account),
 		};
@@ -282,7 +274,7 @@
 				};
 			}
 
-			if (!attempts.recordResult(toAttemptResult(lastResult)) || context.body.kind === 'stream') {
+			if (!attempts.recordResult(toAttemptResult(lastResult)) || context.body.isStreamed) {
 				return this.#outcomeWithoutResponse(attempts, lastResult, lastResult.kind === 'overdue' ? 'timeout' : 'shed');
 			}
 		}
@@ -344,7 +336,7 @@
 			headers: req.headers,
 			hidesIdentity: admission.hidesIdentity,
 			accountName: admission.account?.name,
-			body: toCallBody(body),
+			body: body.content,
 			remainingMs,
 			allowsLongIdle: context.attempts.mayBeLost,
 			onHead(info) {
@@ -354,7 +346,7 @@
 			tryHold: req.tryHold,
 		});
 		const tookMs = recordEnd(result);
-		this.#updateCrashReports(context, id, result);
+		await this.#updateCrashReports(context, id, result);
 		if (result.kind !== 'whole' && result.kind !== 'partial') {
 			this.#requestLog.logFailedSend({
 				requestId: req.requestId, instance: entry.instance, isRetry: context.attempts.isRetry, remainingMs, result, tookMs,
@@ -365,12 +357,19 @@
 	}
 
 	/** Reports a crash if the connection was lost while the request ran, and clears the request after a complete response. */
-	#updateCrashReports({fingerprint, service}: RequestContext, instanceId: string, result: InstanceResult): void {
-		const {quarantine} = this.#options;
-		if (result.kind === 'lost') {
+	async #updateCrashReports({service, body, deadlineMs}: RequestContext, instanceId: string, result: InstanceResult): Promise<void> {
+		const {quarantine, clock} = this.#options;
+		if (result.kind === 'whole') {
+			quarantine.clearAfterResponse(body.fingerprint, service);
+		}
+
+		if (result.kind !== 'lost') {
+			return;
+		}
+
+		await body.readToEnd(Math.min(maxRestReadMs, deadlineMs - clock.nowMs()));
+		for (const fingerprint of body.crashFingerprints) {
 			void quarantine.reportCrash(fingerprint, service, instanceId);
-		} else if (result.kind === 'whole') {
-			quarantine.clearAfterResponse(fingerprint, service);
 		}
 	}
 
--- a/src/services/quarantine-service.ts
+++ b/src/services/quarantine-service.ts
@@ -3,6 +3,7 @@
 import {type CrashReportAudience} from '../contracts/crash-report-audience.js';
 import {type Member} from '../contracts/member.js';
 import {CrashReportBatch} from '../decisions/crash-report-batch.js';
+import {fingerprintKinds} from '../decisions/fingerprint-kinds.js';
 import {memberKey} from '../decisions/member-key.js';
 import {Quarantine} from '../decisions/quarantine.js';
 import {rendezvousOrder} from '../decisions/rendezvous-order.js';
@@ -49,6 +50,11 @@
 		return this.#quarantine.isBlocked(fingerprint, this.#options.clock.nowMs());
 	}
 
+	/** Returns whether any instance was lost while it ran a request with this fingerprint. */
+	isSuspect(fingerprint: string): boolean {
+		return this.#quarantine.isSuspect(fingerprint, this.#options.clock.nowMs());
+	}
+
 	/** Returns the instances that were lost while they ran the request. */
 	lostInstances(fingerprint: string): readonly string[] {
 		return this.#quarantine.lostInstances(fingerprint);
@@ -68,6 +74,10 @@
 			return;
 		}
 
+		if (isUnshared && fingerprintKinds.kindOf(fingerprint) === 'beginning') {
+			logger.warn('an upstream was lost while it ran a request with a long body; bodies that begin alike are identified before they are passed on', {fingerprint, service, instance: instanceId});
+		}
+
 		if (this.isBlocked(fingerprint)) {
 			logger.warn('request quarantined: several upstreams were lost while they ran it', {fingerprint, service, instances: this.lostInstances(fingerprint)});
 		}
--- a/tools/placement-model/model-host.ts
+++ b/tools/placement-model/model-host.ts
@@ -104,7 +104,7 @@
 			}),
 			retries: new RetryShare(retryBudget),
 			quarantine: {
-				isBlocked: () => false, reportCrash: async () => undefined, clearAfterResponse: ignore,
+				isBlocked: () => false, isSuspect: () => false, reportCrash: async () => undefined, clearAfterResponse: ignore,
 			},
 			planner: this.planner,
 			quotas: {take: async () => ({kind: 'granted', hasWaited: false, giveBack: ignore})},
