SIGHUP does not end a daemon that starts

Cause: the listener was installed as the last step of the start.

Change: the first module that is loaded installs it; everything else is loaded behind it, so that the bundle has two parts. A signal that comes early waits for the daemon's listener.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -15,9 +15,12 @@
 };
 
 await build({
-	entryPoints: ['platform/main.ts'],
-	outfile: 'target/cowslipspar.mjs',
+	entryPoints: {cowslipspar: 'platform/start.ts'},
+	outdir: 'target',
+	outExtension: {'.js': '.mjs'},
+	chunkNames: 'chunks/[name]-[hash]',
 	bundle: true,
+	splitting: true,
 	platform: 'node',
 	format: 'esm',
 	target: 'node20',
--- a/tools/child.ts
+++ b/tools/child.ts
@@ -83,7 +83,7 @@
 	}
 
 	/** Sends a signal to this process alone. */
-	signal(name: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT'): void {
+	signal(name: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
 		if (this.isRunning) {
 			this.#process.kill(name);
 		}
