A watcher whose watch the store rejects reports no contact

Cause: a watcher reported contact whenever the store answered its probe, which does not count toward the store's limit, also while its watches and reads were rejected.

Change: contact is reported only if the latest watch or full read was answered, too. The others then watch as substitutes.

Cost: none while the store answers.

Tests: three in revision-tracker.test.ts failed before, with the new call as a stub.

--- a/src/decisions/revision-tracker.test.ts
+++ b/src/decisions/revision-tracker.test.ts
@@ -62,6 +62,26 @@
 			}), {numRuns: 60, seed: 29});
 		});
 
+		// Guards against hosts that reach the store and wait for watchers which it rejects, but whose cheap probes it answers (CONFIG).
+		it.each([1, 5, 9])('brings a change to all other hosts within the drain time while the store answers only probes of the watchers, with seed %i', seed => {
+			const model = settled({hosts: 6, seed});
+			const rejected = model.watchers;
+			for (const index of rejected) {
+				model.hosts[index]!.isRejected = true;
+			}
+
+			model.run(200);
+			model.revision++;
+			model.run(drainMs);
+			expect(behind(model)).toEqual([]);
+			for (const index of rejected) {
+				model.hosts[index]!.isRejected = false;
+			}
+
+			model.run(3000);
+			expect(model.watchers).toEqual(rejected);
+		});
+
 		it('ends the substitutes\' watches once a designated watcher reaches the store again', () => {
 			const model = settled({hosts: 6, seed: 2});
 			const designated = model.watchers;
--- a/src/decisions/revision-tracker.ts
+++ b/src/decisions/revision-tracker.ts
@@ -50,7 +50,7 @@
  * higher than the current one, by era and then by revision.
  *
  * A watcher that is cut off, frozen or dead reports nothing, and neither does a store without changes. Watchers therefore
- * probe the store and report each contact to their region. A host that hears of no contact probes the store itself, and
+ * probe the store and report each contact to their region, as long as their watches and reads are answered, too. A host that hears of no contact probes the store itself, and
  * watches it as a substitute once it has been answered.
  *
  * Hosts of the release before state no era. To a host that knows the store's era their revisions say nothing: they are neither
@@ -66,6 +66,8 @@
 	#pull: {readonly address: string; readonly progressMs: number} | undefined;
 	#isWatching = false;
 	#isSubstitute = false;
+	/** Whether the store answered none of the latest watch and the reads after it: this host then gets no changes, though the store may answer its probes. */
+	#isReadFailing = false;
 	#rank = Number.POSITIVE_INFINITY;
 	/** Latest time at which the store answered this host or a watcher whose changes this host has. */
 	#contactMs: number;
@@ -167,10 +169,19 @@
 			return effects.length > 0 ? effects : reads;
 		}
 
+		if (this.#isWatching && this.#isReadFailing) {
+			return effects;
+		}
+
 		this.#contactMs = nowMs;
 		return this.#isWatching ? [...effects, {kind: 'report_contact'}] : effects;
 	}
 
+	/** Records whether the store answered a watch or a full read of this host. */
+	recordRead(isAnswered: boolean): void {
+		this.#isReadFailing = !isAnswered;
+	}
+
 	/**
 	 * Records that the store has just answered a watcher of this region, which has this version and this rank. A watcher of an older era
 	 * delivers no changes of this one, so that its contact does not count.
@@ -265,6 +276,7 @@
 		}
 
 		this.#isWatching = isWatching;
+		this.#isReadFailing = false;
 		return [{kind: 'watch', isWatching}];
 	}
 
--- a/src/services/replica-service.ts
+++ b/src/services/replica-service.ts
@@ -64,6 +64,9 @@
 			onEra: era => {
 				this.#noteEra(era, 'store');
 			},
+			onRead(isAnswered) {
+				options.revisionTracker.recordRead(isAnswered);
+			},
 			onChanges: changes => {
 				this.#propagateChanges(changes, 'store');
 			},
--- a/src/services/store-reader.test.ts
+++ b/src/services/store-reader.test.ts
@@ -25,12 +25,13 @@
 	let eras: number[];
 	let abort: AbortController;
 	let lists: number;
+	let reads: boolean[];
 	const changes = (era: number, revision: number, ...written: StoreItem[]): WatchResult => ({success: true, data: {era, revision, changes: written.map(item => ({kind: 'written', item}))}});
 
 	beforeEach(() => {
 		items = new ItemReplica();
 		items.applyFullRead([itemAt('a', 80)], at(100, 1), 0);
-		[watchedFrom, eras, abort, lists] = [[], [], new AbortController(), 0];
+		[watchedFrom, eras, abort, lists, reads] = [[], [], new AbortController(), 0, []];
 		const ignore = () => undefined;
 		reader = new StoreReader({
 			store: {
@@ -57,6 +58,9 @@
 			onEra(era) {
 				eras.push(era);
 			},
+			onRead(isAnswered) {
+				reads.push(isAnswered);
+			},
 			onChanges: ignore,
 			onFullRead: ignore,
 		});
@@ -77,6 +81,13 @@
 		expect([items.version, watchedFrom]).toEqual([at(50, 2), [100, 50]]);
 	});
 
+	it('tells which of its watches and reads the store answered, apart from probes', async () => {
+		listed = {...at(130, 1), items: [itemAt('a', 80)]};
+		responses = [() => changes(1, 101, itemAt('a', 101)), () => ({success: false, error: {code: 'throttled', message: ''}})];
+		await reader.watch(false, abort.signal);
+		expect(reads).toEqual([true, false, true]);
+	});
+
 	it('drops a late response of an older era, and goes on from what a peer delivered in the meantime', async () => {
 		const peer = new ItemReplica();
 		peer.applyFullRead([itemAt('b', 40)], at(50, 2), 0);
--- a/src/services/store-reader.ts
+++ b/src/services/store-reader.ts
@@ -20,6 +20,8 @@
 	readonly onEra: (era: number) => void;
 	/** Called with the changes that a response made, also if there are none. */
 	readonly onChanges: (changes: readonly StoreChange[]) => void;
+	/** Called after each full read and each watch: whether the store answered it. */
+	readonly onRead: (isAnswered: boolean) => void;
 	/** Called after a full read of all items, with their era. */
 	readonly onFullRead: (era: number) => void;
 };
@@ -93,9 +95,10 @@
 	}
 
 	async #readOnce(): Promise<StoreVersion | undefined> {
-		const {store, items, clock, logger, onChanges, onFullRead} = this.#options;
+		const {store, items, clock, logger, onRead, onChanges, onFullRead} = this.#options;
 		const startMs = clock.nowMs();
 		const read = await store.list('');
+		onRead(read.success);
 		if (!read.success) {
 			this.#recordFailure(read.error);
 			return undefined;
@@ -119,12 +122,13 @@
 
 	/** Waits for one set of changes. Returns the version from which to continue, or `undefined` if all items have to be read again. */
 	async #watchOnce(after: StoreVersion, signal: AbortSignal): Promise<StoreVersion | undefined> {
-		const {store, items, onChanges} = this.#options;
+		const {store, items, onRead, onChanges} = this.#options;
 		const read = await store.watchPrefix('', after.revision, watchWaitMs, signal);
 		if (signal.aborted) {
 			return undefined;
 		}
 
+		onRead(read.success || read.error.code === 'compacted');
 		if (!read.success) {
 			if (read.error.code === 'compacted') {
 				this.#recordResponse(read.error.era);
--- a/test/store-watch-model.ts
+++ b/test/store-watch-model.ts
@@ -10,6 +10,8 @@
 	isWatching: boolean;
 	/** Whether the host's link to the store loses everything in silence. */
 	isCut: boolean;
+	/** Whether the store rejects the host's watches and reads, but answers its probes. */
+	isRejected: boolean;
 	/** Whether the host is of the release before, which knows no eras: to it, the revision alone is the version. */
 	isLegacy: boolean;
 	/** Number of probes of the store that the host made. */
@@ -46,7 +48,7 @@
 			},
 		});
 		this.hosts = this.network.nodes.map((_, index) => ({
-			tracker: new RevisionTracker(new SeededRandom(seed + index), 0), isWatching: false, isCut: false, isLegacy: false, probes: 0, substituteSinceMs: undefined,
+			tracker: new RevisionTracker(new SeededRandom(seed + index), 0), isWatching: false, isCut: false, isRejected: false, isLegacy: false, probes: 0, substituteSinceMs: undefined,
 		}));
 	}
 
@@ -91,10 +93,14 @@
 		return [...this.hosts.keys()].filter(index => !this.hosts[index]!.isCut && !this.network.nodes[index]!.isDown);
 	}
 
-	/** A watch on a link that is not cut delivers every change. */
+	/** A watch on a link that is not cut delivers every change, unless the store rejects the host. */
 	#deliver(index: number): void {
 		const host = this.hosts[index]!;
 		if (host.isWatching && !host.isCut) {
+			host.tracker.recordRead(!host.isRejected);
+		}
+
+		if (host.isWatching && !host.isCut && !host.isRejected) {
 			this.#adopt(index, this.version);
 		}
 	}
@@ -125,7 +131,7 @@
 
 			case 'read_store': {
 				this.#later(callMs, () => {
-					if (!host.isCut) {
+					if (!host.isCut && !host.isRejected) {
 						this.#adopt(index, this.version);
 					}
 				});
