A planned stop waits for answers that are still delivered

Cause: the stop waited for the requests that the proxy counts, which ends with the beginning of a long answer.

Change: the server for clients counts requests until their responses are passed to the system, and the stop waits for these, too.

Test: stop-during-long-answers.test.ts failed before (450,000 of 600,000 bytes).

--- a/src/services/ingress-service.ts
+++ b/src/services/ingress-service.ts
@@ -75,6 +75,7 @@
 	readonly #server: Server;
 	readonly #pipelines = new Map<Duplex, RequestPipeline>();
 	#limits = initialLimits;
+	#unanswered = 0;
 	#phase: 'serving' | 'closing' | 'refusing' | 'closed' = 'serving';
 
 	constructor(options: IngressOptions) {
@@ -96,6 +97,11 @@
 		return this.#pipelines.size;
 	}
 
+	/** Number of requests whose responses are not complete, or not yet passed to the system. */
+	get unanswered(): number {
+		return this.#unanswered;
+	}
+
 	/** Starts listening. */
 	async start(lifecycle: Lifecycle): Promise<void> {
 		await listenAt(this.#server, this.#options.address, maxWaitingConnections);
@@ -136,7 +142,9 @@
 		}
 
 		const memory = this.#options.guard.memoryOf(req);
+		this.#unanswered++;
 		res.once('close', () => {
+			this.#unanswered--;
 			memory.release();
 			pipeline.end(exchange);
 			if (pipeline.isAbandoned) {
--- a/src/steering-servers.ts
+++ b/src/steering-servers.ts
@@ -53,7 +53,7 @@
 					clock: get('clock'),
 					logger: get('logger'),
 					members: get('members'),
-					countRequestsInFlight: () => proxy.inFlight,
+					countRequestsInFlight: () => Math.max(proxy.inFlight, ingress.unanswered),
 					onBegin(endMs) {
 						get('quotaSlots').drain();
 						proxy.finishBy(endMs);
