A host that starts asks others for crash reports

Cause: crash reports are sent when they are new; a host that starts asked nobody for earlier ones.

Change: it asks its peers, at most some six calls in 10 s, until one has the reports of the time before it started itself. Reports keep their age. The call is new (knownCrashReports); hosts of the release before refuse it, and the next one is asked.

Cost: a call of some 100 bytes for each report that counts, 1,000 at most, once a start.

Test: quarantine-service.test.ts, one new; the call did not exist before.

--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -175,10 +175,13 @@
 function addRequestPath(kernel: Kernel, settings: DaemonSettings): void {
 	kernel
 		.add({
-			name: 'quarantine', requires: ['clock', 'logger', 'metrics', 'members', 'peerClient'],
-			start: ({get}) => new QuarantineService({
-				clock: get('clock'), logger: get('logger'), metrics: get('metrics'), members: get('members'), peerClient: get('peerClient'), collectMs: 0,
-			}),
+			name: 'quarantine', requires: ['clock', 'logger', 'metrics', 'members', 'peerClient'], start({get, lifecycle}) {
+				const quarantine = new QuarantineService({
+					clock: get('clock'), logger: get('logger'), metrics: get('metrics'), members: get('members'), peerClient: get('peerClient'), collectMs: 0,
+				});
+				quarantine.start(lifecycle);
+				return quarantine;
+			},
 		})
 		.add({
 			name: 'shift', requires: ['clock', 'members', 'config', 'peerClient', 'metrics'],
--- a/src/decisions/quarantine.ts
+++ b/src/decisions/quarantine.ts
@@ -68,6 +68,11 @@
 		return this.#reports.delete(fingerprint);
 	}
 
+	/** Returns the latest crash reports that count, up to `limit` of them. */
+	latest(limit: number, nowMs: number): readonly CrashReports[] {
+		return [...this.#reports.values()].filter(({fingerprint}) => this.isSuspect(fingerprint, nowMs)).slice(-limit);
+	}
+
 	/** Returns the crash reports of all requests that are refused now. */
 	blocked(nowMs: number): readonly CrashReports[] {
 		return [...this.#reports.values()].filter(reports => this.isBlocked(reports.fingerprint, nowMs));
--- a/src/services/member-procedures.ts
+++ b/src/services/member-procedures.ts
@@ -21,6 +21,8 @@
 		crashReports: call
 			.input(z.object({reports: z.array(CrashReport).max(maxCrashReports), audience: CrashReportAudience}))
 			.mutation(async ({input}) => quarantine.receiveCrashReports(input.reports, input.audience)),
+		/** Returns the crash reports that count here, for a host that has just started. */
+		knownCrashReports: call.query(() => quarantine.known()),
 		/** Receives one crash report from a host of an earlier release, which sends each report separately. */
 		strike: call
 			.input(CrashReport.extend({isRelayed: z.boolean()}))
--- a/src/services/quarantine-service.test.ts
+++ b/src/services/quarantine-service.test.ts
@@ -2,6 +2,7 @@
 import {CrashReport} from '../contracts/crash-report.js';
 import {type CrashReportAudience} from '../contracts/crash-report-audience.js';
 import {type Member} from '../contracts/member.js';
+import {Lifecycle} from '../kernel/lifecycle.js';
 import {type Logger} from './logger.js';
 import {type MembersService} from './members-service.js';
 import {Metrics} from './metrics.js';
@@ -26,11 +27,11 @@
 	const down = new Set<string>();
 	const services = new Map<string, QuarantineService>();
 	const hosts = regions.flatMap(region => Array.from({length: hostsPerRegion}, (_, index) => host(region, index)));
-	for (const self of hosts) {
+	const create = (self: Member): QuarantineService => {
 		const local = hosts.filter(({region}) => region === self.region);
-		services.set(self.id, new QuarantineService({
+		return new QuarantineService({
 			clock: {nowMs: () => 1000},
-			logger: {warn: () => undefined, debug: () => undefined} as unknown as Logger,
+			logger: {warn: () => undefined, info: () => undefined, debug: () => undefined} as unknown as Logger,
 			metrics: new Metrics(),
 			members: {
 				membership: {
@@ -44,6 +45,16 @@
 			} as unknown as MembersService,
 			peerClient: {
 				control: (address: string) => ({
+					knownCrashReports: {
+						async query() {
+							const [to] = address.split(':');
+							if (down.has(to!)) {
+								throw new Error('unreachable');
+							}
+
+							return services.get(to!)!.known();
+						},
+					},
 					crashReports: {
 						async mutate({reports, audience}: Pick<Call, 'reports' | 'audience'>) {
 							const [to] = address.split(':');
@@ -60,11 +71,20 @@
 				}),
 			} as unknown as PeerClient,
 			collectMs: 5,
-		}));
+		});
+	};
+
+	for (const self of hosts) {
+		services.set(self.id, create(self));
 	}
 
 	const ids = hosts.map(({id}) => id);
 	return {
+		/** Replaces the process of a host by a new one, which stops asking others at the end of the lifecycle. */
+		restart(id: string, lifecycle: Lifecycle) {
+			services.set(id, create(hosts.find(item => item.id === id)!));
+			services.get(id)!.start(lifecycle);
+		},
 		calls, down, ids, service: (id: string) => services.get(id)!,
 		reportedAt: (fingerprint: string) => ids.filter(id => services.get(id)!.lostInstances(fingerprint).length > 0),
 	};
@@ -98,6 +118,21 @@
 		expect(ids.filter(id => service(id).isBlocked('f'))).toEqual(ids);
 	});
 
+	// Guards against a request that crashes instances and is passed on again by each host that was restarted (BUDGET).
+	it('refuses at a host that is started again what the others refuse, also if the first ones that it asks are down', async () => {
+		const fleet = createFleet();
+		const lifecycle = new Lifecycle();
+		await Promise.all([fleet.service('north-1').reportCrash('f', 'ledger', 'i-1'), fleet.service('west-2').reportCrash('f', 'ledger', 'i-2')]);
+		for (const index of [0, 1, 2]) {
+			fleet.down.add(`south-${index}`);
+		}
+
+		fleet.restart('south-4', lifecycle);
+		expect(fleet.service('south-4').isBlocked('f')).toBe(false);
+		await expect.poll(() => fleet.service('south-4').isBlocked('f'), {timeout: 10_000}).toBe(true);
+		await lifecycle.close();
+	});
+
 	it('shares reports while the collector of the region is down', async () => {
 		const fleet = createFleet();
 		await fleet.service('south-4').reportCrash('f', 'ledger', 'i-1');
--- a/src/services/quarantine-service.ts
+++ b/src/services/quarantine-service.ts
@@ -1,12 +1,14 @@
 import {type Clock} from '../contracts/clock.js';
 import {type CrashReport} from '../contracts/crash-report.js';
 import {type CrashReportAudience} from '../contracts/crash-report-audience.js';
+import {KnownCrashReports} from '../contracts/known-crash-reports.js';
 import {type Member} from '../contracts/member.js';
 import {CrashReportBatch} from '../decisions/crash-report-batch.js';
 import {fingerprintKinds} from '../decisions/fingerprint-kinds.js';
 import {memberKey} from '../decisions/member-key.js';
 import {Quarantine} from '../decisions/quarantine.js';
 import {rendezvousOrder} from '../decisions/rendezvous-order.js';
+import {type Lifecycle} from '../kernel/lifecycle.js';
 import {type Logger} from './logger.js';
 import {type MembersService} from './members-service.js';
 import {type Metrics} from './metrics.js';
@@ -29,6 +31,11 @@
 const maxReportsPerCall = 256;
 /** Number of hosts that are tried as the receiver that passes reports on to its region. */
 const maxReceiverAttempts = 2;
+/** Largest number of reports that a host which has just started gets from another. */
+const maxKnownReports = 1000;
+/** Pause after the first host that is asked for them, which doubles each time, and the time after which none is asked any more. */
+const firstRecoveryPauseMs = 300;
+const recoveryLimitMs = 10_000;
 /** Key by which the hosts of a region are ordered as receivers of reports. */
 const receiverOrderKey = 'crash reports';
 
@@ -41,11 +48,31 @@
 	readonly #quarantine = new Quarantine();
 	readonly #batch = new CrashReportBatch();
 	#nextSend: Promise<void> | undefined;
+	/** Whether this host has the reports of the time before it started, as far as there are any. */
+	#isComplete = false;
 
 	constructor(options: QuarantineOptions) {
 		this.#options = options;
 	}
 
+	/** Asks other hosts for the crash reports of the time before this one started, until one has them or a time has passed. */
+	start(lifecycle: Pick<Lifecycle, 'addCleanup'>): void {
+		const abort = new AbortController();
+		lifecycle.addCleanup('crash reports', () => {
+			abort.abort();
+		});
+		void this.#recover(abort.signal);
+	}
+
+	/** Returns the crash reports that count here, for a host that has just started. */
+	known(): KnownCrashReports {
+		const nowMs = this.#options.clock.nowMs();
+		const reports = this.#quarantine.latest(maxKnownReports, nowMs).map(({fingerprint, service, instances, sinceMs}) => ({
+			fingerprint, service, instances: [...instances], ageMs: Math.max(0, nowMs - sinceMs),
+		}));
+		return {isComplete: this.#isComplete, reports};
+	}
+
 	isBlocked(fingerprint: string): boolean {
 		return this.#quarantine.isBlocked(fingerprint, this.#options.clock.nowMs());
 	}
@@ -124,6 +151,58 @@
 		}
 	}
 
+	async #recover(signal: AbortSignal): Promise<void> {
+		const {clock, logger} = this.#options;
+		const endMs = clock.nowMs() + recoveryLimitMs;
+		const asked = new Set<string>();
+		let pauseMs = firstRecoveryPauseMs;
+		while (!signal.aborted && !this.#isComplete && clock.nowMs() < endMs) {
+			const peer = this.#peers().find(({peers}) => !asked.has(peers));
+			if (peer === undefined) {
+				// Those asked so far may have more by now, and others may have become known.
+				asked.clear();
+			} else {
+				asked.add(peer.peers);
+				await this.#recoverFrom(peer);
+			}
+
+			await pause(Math.min(pauseMs, endMs - clock.nowMs()), signal);
+			pauseMs *= 2;
+		}
+
+		if (!signal.aborted && !this.#isComplete) {
+			this.#isComplete = true;
+			logger.info('no other host has crash reports of an earlier time; this one begins without', {knownRequests: this.#quarantine.latest(maxKnownReports, clock.nowMs()).length});
+		}
+	}
+
+	/** Returns the other hosts, those of the own region first, in an order of this host's own. */
+	#peers(): readonly Member[] {
+		const {members} = this.#options;
+		const {self} = members.membership;
+		const own = members.membership.alive().filter(member => !members.isSelf(member));
+		const foreign = members.membership.otherRegions().flatMap(region => members.membership.hostsOf(region));
+		return [own, foreign].flatMap(hosts => rendezvousOrder(memberKey(self), hosts, memberKey));
+	}
+
+	async #recoverFrom({id, peers}: Member): Promise<void> {
+		const {peerClient, clock, logger} = this.#options;
+		try {
+			const {isComplete, reports} = KnownCrashReports.parse(await peerClient.control(peers).knownCrashReports.query());
+			const nowMs = clock.nowMs();
+			for (const {fingerprint, service, instances, ageMs} of reports) {
+				this.#quarantine.recordCrash(fingerprint, service, instances, nowMs - ageMs);
+			}
+
+			this.#isComplete ||= isComplete;
+			if (reports.length > 0) {
+				logger.info('crash reports of an earlier time taken over from another host', {from: id, requests: reports.length, isComplete});
+			}
+		} catch (err) {
+			logger.debug('asking a host for crash reports failed', {from: id, err: String(err)});
+		}
+	}
+
 	async #shareClearing(fingerprint: string, service: string): Promise<void> {
 		this.#batch.add(fingerprint, {
 			service, isCleared: true, destination: 'collector', isUnshared: false,
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -195,10 +195,13 @@
 			},
 		})
 		.add({
-			name: 'quarantine', requires: ['clock', 'logger', 'metrics', 'members', 'peerClient'],
-			start: ({get}) => new QuarantineService({
-				clock: get('clock'), logger: get('logger'), metrics: get('metrics'), members: get('members'), peerClient: get('peerClient'), collectMs: crashReportCollectMs,
-			}),
+			name: 'quarantine', requires: ['clock', 'logger', 'metrics', 'members', 'peerClient'], start({get, lifecycle}) {
+				const quarantine = new QuarantineService({
+					clock: get('clock'), logger: get('logger'), metrics: get('metrics'), members: get('members'), peerClient: get('peerClient'), collectMs: crashReportCollectMs,
+				});
+				quarantine.start(lifecycle);
+				return quarantine;
+			},
 		});
 }
 
