A build replaces the daemon's bundle instead of rewriting it in place

Seen: tests of a built daemon failed now and then with "condition not met within 8000 ms" and an empty daemon log: 1 of 3 whole runs on, 2 and 3 of 25 such tests in two later runs.

Cause: each of these tests builds target/, esbuild rewrites its files in place, and a daemon that another test starts meanwhile loads an empty or mixed bundle. The files were meant to run one at a time; maxWorkers of a project has no effect in this vitest, and four ran at once. Two explanations were at hand, a slow start under load and a broken bundle; a loop of starts beside builds tells them apart: 17 of 150 starts ended at once (exit code 0 without output, or a missing export), 0 of 150 with this change.

Change: files are written under a temporary name and renamed, the entry point last; the crowd tests share one fork (25 of 25 passed, one file at a time). Nothing in the daemon changes.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -1,4 +1,6 @@
+import {mkdirSync, renameSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
+import process from 'node:process';
 import {build} from 'esbuild';
 
 /** Defines `require` for CommonJS dependencies, since ES modules do not have it. */
@@ -14,7 +16,8 @@
 	},
 };
 
-await build({
+const {outputFiles} = await build({
+	write: false,
 	entryPoints: {cowslipspar: 'platform/start.ts'},
 	outdir: 'target',
 	outExtension: {'.js': '.mjs'},
@@ -31,3 +34,12 @@
 	banner: {js: requireShim},
 	plugins: [excludeUnusedCode],
 });
+
+// A process that starts meanwhile reads whole files, the former ones or the new ones: the entry point is replaced last.
+const isEntry = file => Number(path.basename(file).startsWith('cowslipspar.'));
+for (const {path: file, contents} of outputFiles.toSorted((a, b) => isEntry(a.path) - isEntry(b.path))) {
+	const temporary = `${file}.${process.pid}`;
+	mkdirSync(path.dirname(file), {recursive: true});
+	writeFileSync(temporary, contents, {mode: 0o755});
+	renameSync(temporary, file);
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -44,7 +44,7 @@
 			{
 				// One file at a time, and after all others, so that no other load runs beside it.
 				test: {
-					...common, name: 'crowds', include: [crowdTests], exclude: excluded, fileParallelism: false, maxWorkers: 1, testTimeout: 120_000, sequence: {groupOrder: 1},
+					...common, name: 'crowds', include: [crowdTests], exclude: excluded, poolOptions: {forks: {singleFork: true}}, testTimeout: 120_000, sequence: {groupOrder: 1},
 				},
 			},
 		],
