Test: a planned stop begins once the instance has all requests

Seen: in a whole run beside a load of 20 on 8 processors, "an answer that is broken off does not look complete > to a client of HTTP/1.0 > at the end of a planned stop" failed with "the request was not sent to the instance" (989 of 990 other tests passed).

Cause: the test gave 15 requests on new connections 240 ms to reach the instance and then stopped the host, which refuses what arrives late in its grace time. With a pause of 0 ms in place of 240 the old test fails in the same way, and the new one passes.

The test now waits until the instance has received every request, and then for the 240 ms as before. No check is changed.

--- a/test/broken-off-answers.test.ts
+++ b/test/broken-off-answers.test.ts
@@ -63,13 +63,16 @@
 	/** Called with the rest of the answer once its first part is on the way. */
 	readonly continueWith: (socket: Socket, rest: string) => void;
 };
-type SentRequest = {readonly exchange: RawExchange; readonly whole: string};
+type SentRequest = {readonly id: string; readonly exchange: RawExchange; readonly whole: string};
 
 // Guards against an answer that was broken off and that its client takes for complete (MIXED).
 describe('an answer that is broken off does not look complete', () => {
 	const store = new KvStoreStandIn();
 	const answers = new Map<string, Answer>();
+	/** Ids of the requests that the instance has received. */
+	const receivedIds = new Set<string>();
 	const instance = new RawInstance((socket, requestId) => {
+		receivedIds.add(requestId);
 		const {framing, size, continueWith} = answers.get(requestId)!;
 		const {start, rest} = partsOf(requestId, framing, bodyOf(requestId, size));
 		socket.write(start);
@@ -118,6 +121,7 @@
 		const id = `r${answers.size}`;
 		answers.set(id, answer);
 		return {
+			id,
 			whole: bodyOf(id, answer.size),
 			exchange: new RawExchange(to.host, clientsPort, [
 				`GET ${path}${id} HTTP/${version}`, 'Host: shop.example', `X-Request-Id: ${id}`, 'X-Deadline-Ms: 9000', 'Connection: close', '', '',
@@ -261,6 +265,7 @@
 				sent.exchange.pause();
 			}
 
+			await until(() => [...unfinished, ...unread].every(({sent}) => receivedIds.has(sent.id)));
 			await pauseMs(4 * transferMs);
 			await stopping.kernel.get('stop').stop();
 			await stopping.close();
