Metrics and log lines that tell late changes of the store from late requests

A host that handles a request by an old configuration or sends to an instance that leaves may have got the change late, or have had it and sent by an older decision, or have been behind with its work. Until now only the first change that a host saw was in its log, not for how long it had known of it, failed pulls were logged at debug level only, and nothing told how long a request that was read waited for its start.

New: replica_behind_seconds and a line from 1 s on, replica_pull_failures and a line, request_turn_seconds.

--- a/src/decisions/revision-tracker.ts
+++ b/src/decisions/revision-tracker.ts
@@ -63,6 +63,7 @@
 	readonly #eras = new EraTracker();
 	#version: StoreVersion = {era: 0, revision: 0};
 	#newestReported: {version: StoreVersion; sources: string[]} = {version: {era: 0, revision: 0}, sources: []};
+	#behindSinceMs: number | undefined;
 	#pull: {readonly address: string; readonly progressMs: number} | undefined;
 	#isWatching = false;
 	#isSubstitute = false;
@@ -94,6 +95,11 @@
 		return this.#version;
 	}
 
+	/** Time since which this host has known of a newer version than its own, in monotonic milliseconds; `undefined` while it knows of none. */
+	get behindSinceMs(): number | undefined {
+		return this.#behindSinceMs;
+	}
+
 	/** Whether this host has heard of an era of the store whose items it does not have. */
 	get isBehindEra(): boolean {
 		return this.#eras.isBehind;
@@ -120,6 +126,8 @@
 			return [];
 		}
 
+		this.#behindSinceMs ??= nowMs;
+
 		if (compareVersions(version, this.#newestReported.version) > 0) {
 			this.#newestReported = {version, sources: []};
 		}
@@ -140,6 +148,10 @@
 		}
 
 		this.#version = version;
+		if (compareVersions(version, this.#newestReported.version) >= 0) {
+			this.#behindSinceMs = undefined;
+		}
+
 		this.#eras.enter(version.era);
 		this.#countReportedContact();
 		return true;
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -116,6 +116,7 @@
 		try {
 			// The end of the client's connection may already have arrived, too, if the request was read late.
 			await turns.next();
+			metrics.observe('request_turn_seconds', {}, clock.nowMs() - req.arrivedMs);
 			const route = this.#matchRoute(req);
 			const admission = this.#admit(req, route);
 			const outcome = admission.kind === 'refused' ? admission.outcome : await this.#handle(req, admission);
--- a/src/services/replica-service.ts
+++ b/src/services/replica-service.ts
@@ -35,6 +35,8 @@
 const tickMs = 100;
 /** Time for which the start of the daemon waits for the first items. */
 const startTimeoutMs = 600;
+/** Time of knowing of a newer version without having it from which a line is logged; a pull usually takes less than a tenth of this. */
+const minLoggedBehindMs = 1000;
 /** Pause between attempts to read the first items. */
 const bootstrapRetryMs = 400;
 
@@ -285,8 +287,10 @@
 			this.#propagateChanges(changes, address);
 			revisionTracker.adopt(this.items.version);
 		} catch (err) {
-			logger.debug('pulling items from a peer failed', {address, err: describeCallError(err)});
-			this.#runEffects(revisionTracker.recordPullFailure(address, clock.nowMs()));
+			const nowMs = clock.nowMs();
+			metrics.count('replica_pull_failures');
+			logger.limited('pulling items from a peer failed', {address, err: describeCallError(err), tookMs: Math.round(nowMs - startMs)});
+			this.#runEffects(revisionTracker.recordPullFailure(address, nowMs));
 		}
 	}
 
@@ -322,7 +326,9 @@
 
 		if (compareVersions(this.items.version, revisionTracker.version) > 0) {
 			const isNewEra = this.items.version.era > revisionTracker.version.era;
+			const {behindSinceMs} = revisionTracker;
 			revisionTracker.adopt(this.items.version);
+			this.#recordCatchUp(behindSinceMs, source);
 			this.#members?.run(this.#members.membership.setVersion(this.items.version, revisionTracker.isWatching));
 			if (isNewEra && source !== 'store' && this.#watch !== undefined) {
 				// The watch waits for changes after a revision of another era.
@@ -331,6 +337,20 @@
 		}
 	}
 
+	/** Records for how long this host knew of a newer version without having it. */
+	#recordCatchUp(behindSinceMs: number | undefined, source: string): void {
+		const {revisionTracker, metrics, logger, clock} = this.#options;
+		if (behindSinceMs === undefined || revisionTracker.behindSinceMs !== undefined) {
+			return;
+		}
+
+		const behindMs = clock.nowMs() - behindSinceMs;
+		metrics.observe('replica_behind_seconds', {}, behindMs);
+		if (behindMs >= minLoggedBehindMs) {
+			logger.limited('changes of the store arrived late', {behindMs: Math.round(behindMs), revision: this.items.revision, source}, 'warn');
+		}
+	}
+
 	#setWatching(isWatching: boolean): void {
 		const {revisionTracker, logger, metrics} = this.#options;
 		this.#watch?.abort();
