--- a/src/decisions/revision-tracker.test.ts
+++ b/src/decisions/revision-tracker.test.ts
@@ -106,6 +106,31 @@
 		expect(model.watchers).toHaveLength(2);
 	});
 
+	// Guards against requests by old configurations and to instances that left, sent by hosts which are busy and get changes late (CONFIG, DRAIN).
+	describe('with hosts whose event loops are busy', () => {
+		it.each([
+			{hosts: 12, turnMs: 400}, {hosts: 39, turnMs: 400}, {hosts: 100, turnMs: 400}, {hosts: 100, turnMs: 200}, {hosts: 39, turnMs: 600},
+		])('brings each of many changes in a row to all $hosts hosts within the drain time, with turns of $turnMs ms', ({hosts, turnMs}) => {
+			const model = new StoreWatchModel({hosts, seed: 7, turnMs});
+			model.run(settleMs);
+			const changes: Array<{readonly revision: number; readonly atMs: number}> = [];
+			let slowestMs = 0;
+			for (let elapsedMs = 0; elapsedMs < 20_000; elapsedMs += 50) {
+				if (elapsedMs % 150 === 0 && elapsedMs < 15_000) {
+					model.revision++;
+					changes.push({revision: model.revision, atMs: model.network.nowMs});
+				}
+
+				model.run(50);
+				const known = Math.min(...model.hosts.map(host => host.tracker.version.revision));
+				const firstMissing = changes.find(change => change.revision > known);
+				slowestMs = Math.max(slowestMs, firstMissing === undefined ? 0 : model.network.nowMs - firstMissing.atMs);
+			}
+
+			expect(slowestMs).toBeLessThanOrEqual(drainMs);
+		});
+	});
+
 	it('keeps the hosts of a large region in contact, which relay it, with a tenth of the datagrams lost', () => {
 		const model = settled({hosts: 60, seed: 5, loss: 0.1});
 		const probesBefore = model.hosts.map(host => host.probes);
--- a/stand-ins/simulated-network.ts
+++ b/stand-ins/simulated-network.ts
@@ -20,6 +20,8 @@
 	readonly seed: number;
 	/** Share of datagrams that are lost, from 0 to 1. */
 	readonly loss?: number;
+	/** Length of a turn of each node's event loop, in milliseconds: what arrives, and what is due, waits for the next one. At least 50, which is the default. */
+	readonly turnMs?: number;
 	/** Settings of the failure detector. */
 	readonly timing?: ConstructorParameters<typeof Membership>[0];
 	/** Called with the effects of a node's membership that are neither messages nor exchanges of views. */
@@ -46,17 +48,19 @@
 	#lastOrder = 0;
 	#startedProcesses = 0;
 	#loss: number;
+	readonly #turnMs: number;
 	readonly #timing: NonNullable<NetworkOptions['timing']>;
 	readonly #onEffect: NetworkOptions['onEffect'];
 	readonly #convey: NonNullable<NetworkOptions['convey']>;
 
 	constructor({
-		regions, seed, loss = 0, timing = defaultTiming, onEffect, convey = message => message,
+		regions, seed, loss = 0, turnMs = tickMs, timing = defaultTiming, onEffect, convey = message => message,
 	}: NetworkOptions) {
 		this.#onEffect = onEffect;
 		this.#convey = convey;
 		this.#random = new SeededRandom(seed);
 		this.#loss = loss;
+		this.#turnMs = turnMs;
 		this.#timing = timing;
 		for (const [region, count] of Object.entries(regions)) {
 			for (let index = 0; index < count; index++) {
@@ -78,8 +82,8 @@
 				event.run();
 			}
 
-			for (const node of this.nodes) {
-				if (!node.isFrozen && !node.isDown) {
+			for (const [index, node] of this.nodes.entries()) {
+				if (!node.isFrozen && !node.isDown && this.turnAt(index, this.nowMs) <= this.nowMs) {
 					this.#applyEffects(node, node.membership.tick(this.nowMs));
 				}
 			}
@@ -133,6 +137,12 @@
 		this.#applyEffects(node, action(node.membership));
 	}
 
+	/** Returns the time of a node's first turn at `atMs` or later. The nodes' turns begin at different times. */
+	turnAt(index: number, atMs: number): number {
+		const offsetMs = (index * tickMs) % this.#turnMs;
+		return offsetMs + (Math.ceil((atMs - offsetMs) / this.#turnMs) * this.#turnMs);
+	}
+
 	/** Returns the ids of the members that a node considers alive, itself included. */
 	aliveAt(index: number): string[] {
 		return this.nodes[index]!.membership.alive().map(member => member.id);
@@ -184,8 +194,10 @@
 			return;
 		}
 
-		this.#schedule(1 + this.#random.below(5), () => {
-			const to = this.nodes.find(node => node.address === address);
+		const atMs = this.nowMs + 1 + this.#random.below(5);
+		const toIndex = this.nodes.findIndex(node => node.address === address);
+		this.#schedule(this.#turnMs > tickMs && toIndex !== -1 ? this.turnAt(toIndex, atMs) : atMs, () => {
+			const to = this.nodes[toIndex];
 			if (to !== undefined && !to.isDown && !to.isFrozen) {
 				const conveyed = this.#convey(message, this.nodes.indexOf(from), this.nodes.indexOf(to));
 				this.#applyEffects(to, to.membership.receive(conveyed, this.nowMs));
@@ -204,9 +216,9 @@
 		this.#applyEffects(from, from.membership.merge(to.membership.updates(), this.nowMs));
 	}
 
-	#schedule(delayMs: number, run: () => void): void {
+	#schedule(atMs: number, run: () => void): void {
 		this.#lastOrder++;
-		this.#events.push({atMs: this.nowMs + delayMs, order: this.#lastOrder, run});
+		this.#events.push({atMs, order: this.#lastOrder, run});
 	}
 
 	/** Removes the events that are due and returns them in order of time. */
--- a/test/store-watch-model.ts
+++ b/test/store-watch-model.ts
@@ -16,6 +16,8 @@
 	isLegacy: boolean;
 	/** Number of probes of the store that the host made. */
 	probes: number;
+	/** Time until which the host is busy with the pulls of others. */
+	servingUntilMs: number;
 	/** Time at which the host first watched the store without being designated. */
 	substituteSinceMs: number | undefined;
 };
@@ -26,6 +28,10 @@
 /** Time of a call to the store or to a peer. */
 const callMs = 40;
 const pullTimeoutMs = 600;
+/** Time until the head of the response to a call between hosts after which the call is given up. */
+const controlTimeoutMs = 1500;
+/** Processor time for which a pull holds up its source, on a host with a fifth of a core of which requests take half. */
+const servePullMs = 30;
 
 /** Test model of one region in virtual time: hosts that watch a store, from which links may be cut in silence, or pull from each other. */
 export class StoreWatchModel {
@@ -36,9 +42,13 @@
 	revision = 1;
 	#tasks: Task[] = [];
 
-	constructor({hosts, seed, loss = 0}: {readonly hosts: number; readonly seed: number; readonly loss?: number}) {
+	readonly #turnMs: number | undefined;
+
+	/** `turnMs`: length of a turn of each host's event loop; without it, calls between hosts take a short time. */
+	constructor({hosts, seed, loss = 0, turnMs}: {readonly hosts: number; readonly seed: number; readonly loss?: number; readonly turnMs?: number}) {
+		this.#turnMs = turnMs;
 		this.network = new SimulatedNetwork({
-			regions: {dsm: hosts}, seed, loss, onEffect: (index, effect) => {
+			regions: {dsm: hosts}, seed, loss, ...(turnMs !== undefined && {turnMs}), onEffect: (index, effect) => {
 				this.#runMembershipEffect(index, effect);
 			},
 			convey: (message, from, to) => {
@@ -48,7 +58,7 @@
 			},
 		});
 		this.hosts = this.network.nodes.map((_, index) => ({
-			tracker: new RevisionTracker(new SeededRandom(seed + index), 0), isWatching: false, isCut: false, isRejected: false, isLegacy: false, probes: 0, substituteSinceMs: undefined,
+			tracker: new RevisionTracker(new SeededRandom(seed + index), 0), isWatching: false, isCut: false, isRejected: false, isLegacy: false, probes: 0, servingUntilMs: 0, substituteSinceMs: undefined,
 		}));
 	}
 
@@ -74,7 +84,7 @@
 			}
 
 			for (const [index, node] of this.network.nodes.entries()) {
-				if (!node.isDown && !node.isFrozen) {
+				if (!node.isDown && !node.isFrozen && this.network.turnAt(index, nowMs) <= nowMs) {
 					this.#runEffects(index, this.hosts[index]!.tracker.tick(nowMs, node.membership.delegateRank()));
 					this.#deliver(index);
 				}
@@ -175,11 +185,40 @@
 			return;
 		}
 
+		if (this.#turnMs !== undefined) {
+			this.#pullFromBusyHost(index, source, address);
+			return;
+		}
+
 		this.#later(callMs, () => {
 			this.#adopt(index, this.hosts[source]!.tracker.version);
 		});
 	}
 
+	/** The source reads the call in one of its turns, serves the calls one after the other, and the response is read in one of the caller's turns. */
+	#pullFromBusyHost(index: number, source: number, address: string): void {
+		const {network, hosts} = this;
+		const {nowMs} = network;
+		const sourceHost = hosts[source]!;
+		sourceHost.servingUntilMs = Math.max(sourceHost.servingUntilMs, network.turnAt(source, nowMs + 1)) + servePullMs;
+		const respondedMs = sourceHost.servingUntilMs;
+		const receivedMs = network.turnAt(index, respondedMs + 1);
+		if (receivedMs - nowMs > controlTimeoutMs) {
+			this.#later(network.turnAt(index, nowMs + controlTimeoutMs) - nowMs, () => {
+				this.#runEffects(index, hosts[index]!.tracker.recordPullFailure(address, network.nowMs));
+			});
+			return;
+		}
+
+		let version: StoreVersion | undefined;
+		this.#later(respondedMs - nowMs, () => {
+			version = sourceHost.tracker.version;
+		});
+		this.#later(receivedMs - nowMs, () => {
+			this.#adopt(index, version ?? sourceHost.tracker.version);
+		});
+	}
+
 	#runMembershipEffect(index: number, effect: Parameters<NonNullable<ConstructorParameters<typeof SimulatedNetwork>[0]['onEffect']>>[1]): void {
 		const {tracker} = this.hosts[index]!;
 		const {nowMs} = this.network;
