Watchers spread the changes of the store themselves in datagrams

Cause: a host learnt of a change in two steps, a datagram that names the new revision and a call to a peer that has it. The call takes a turn of the peer's event loop and two or three of its own, and processor time at both; most hosts asked the two watchers, whose clients' requests went on meanwhile. Where hosts are at the limit of their processor share, calls wait behind requests and behind each other, and many changes in a row make a call for each host and change.

Now a watcher sends what its watch returned to the members of its region in the datagram that named the revision before: compressed, in up to 12 parts. A host applies it in the turn in which it reads it. What is larger, or was lost, is pulled as before, 0.3 s after a host has heard of it. Members relay parts if more than 125 KB would leave the watcher. Hosts of the release before ignore the new fields, and pull.

Weighed: shorter timeouts or more sources of pulls (more calls at busy hosts), every host watching the store (each waiting watch is paid for).

--- a/src/contracts/gossip-message.ts
+++ b/src/contracts/gossip-message.ts
@@ -3,6 +3,10 @@
 import {MemberUpdate} from './member-update.js';
 import {RegionSummary} from './region-summary.js';
 
+/** Limits of an encoding of changes that is sent in parts. */
+const maxParts = 64;
+const maxPartBytes = 1400;
+
 const CommonFields = {
 	/** Process that sent the message, as `id/boot`. */
 	from: z.string(),
@@ -35,9 +39,18 @@
 	 * Reports a new revision or member updates immediately instead of with the next probe. `contactOf` is a process that
 	 * watches the store and has just been answered by it, `contactRevision` and `contactEra` the version that it had. A `contactOf` that
 	 * names the receiver reports no contact: with an era, the fields cannot be left out, since they precede it on the wire.
+	 * A contact is relayed by the members that receive it from the watcher, unless `isRelayed` is false. `partData` is one of `partCount` parts of the encoded changes of the store that lead up to the contact's version.
 	 */
 	z.object({
-		kind: z.literal('news'), contactOf: z.string().optional(), contactRevision: z.int().min(0).optional(), contactEra: z.int().min(0).optional(), ...CommonFields,
+		kind: z.literal('news'),
+		contactOf: z.string().optional(),
+		contactRevision: z.int().min(0).optional(),
+		contactEra: z.int().min(0).optional(),
+		isRelayed: z.boolean().optional(),
+		partIndex: z.int().min(0).optional(),
+		partCount: z.int().min(1).max(maxParts).optional(),
+		partData: z.custom<Uint8Array>(data => data instanceof Uint8Array && data.byteLength <= maxPartBytes).optional(),
+		...CommonFields,
 	}),
 	/**
 	 * Compares region summaries with another region: `own` fields describe the sender's summary of its own region, `known`
--- a/src/decisions/membership.test.ts
+++ b/src/decisions/membership.test.ts
@@ -134,14 +134,14 @@
 		type Effect = Parameters<NonNullable<ConstructorParameters<typeof SimulatedNetwork>[0]['onEffect']>>[1];
 
 		/** Returns a settled region and what its members report about the store from now on. */
-		function regionWithReports(hosts: number): {readonly network: SimulatedNetwork; readonly reports: Map<number, Effect[]>} {
+		function regionWithReports(hosts: number, settleMs = 10_000): {readonly network: SimulatedNetwork; readonly reports: Map<number, Effect[]>} {
 			const reports = new Map<number, Effect[]>();
 			const network = new SimulatedNetwork({
 				regions: {dsm: hosts}, seed: 11, onEffect(index, effect) {
 					reports.set(index, [...(reports.get(index) ?? []), effect]);
 				},
 			});
-			network.run(10_000);
+			network.run(settleMs);
 			reports.clear();
 			return {network, reports};
 		}
@@ -165,6 +165,20 @@
 			expect(informed).toHaveLength(29);
 		});
 
+		it.each([
+			{hosts: 5, bytes: 1000}, {hosts: 30, bytes: 1000}, {hosts: 100, bytes: 500}, {hosts: 100, bytes: 1000},
+		])('that a watcher spreads with $bytes bytes of changes reach all other members of a region of $hosts, and hold up its link for a tenth of a second at most', ({hosts, bytes}) => {
+			const {network, reports} = regionWithReports(hosts, 30_000);
+			const parts = [new Uint8Array(bytes).fill(1), new Uint8Array(bytes).fill(2)];
+			const datagramsBefore = network.datagrams;
+			network.act(0, membership => membership.spreadChanges(version, parts));
+			expect((network.datagrams - datagramsBefore) * bytes).toBeLessThanOrEqual(125_000);
+			network.run(100);
+			const received = [...reports].filter(([, effects]) => parts.every((data, index) => effects.some(effect => effect.kind === 'changes_part'
+				&& effect.origin.startsWith('dsm-0/') && effect.address === 'dsm:0' && effect.version.revision === 5 && effect.index === index && effect.count === 2 && effect.data[0] === data[0])));
+			expect(received).toHaveLength(hosts - 1);
+		});
+
 		it('of an older era are not reported to a member of a later one, but those without an era are', () => {
 			const {network, reports} = regionWithReports(3);
 			network.act(0, membership => membership.setVersion(version));
--- a/src/decisions/membership.ts
+++ b/src/decisions/membership.ts
@@ -25,6 +25,9 @@
 	readonly pauseLimitMs: number;
 };
 
+type News = GossipMessage & {kind: 'news'};
+type ChangesPart = {readonly isRelayed: boolean; readonly partIndex: number; readonly partCount: number; readonly partData: Uint8Array};
+
 type Probe = {
 	readonly key: string;
 	readonly seq: number;
@@ -45,6 +48,10 @@
 const updateFanOutMembers = 3;
 /** Largest number of members of the region that a watcher or delegate notifies directly. */
 const regionFanOutMembers = 200;
+/** Bytes that a watcher sends at once to spread changes: a tenth of a second of a link of 10 Mbit/s. */
+const maxDirectBytes = 125_000;
+/** Largest number of suspected members to which a watcher sends changes; after the loss of a zone, there are many that do not run. */
+const maxSuspectsInformed = 16;
 /** Number of members of a region that exchange summaries with other regions. */
 const delegatesPerRegion = 2;
 /** Time for which the entry of a dead member is kept. */
@@ -197,12 +204,34 @@
 		return this.isDelegate() ? [...notifications, ...this.#sendToRegions(this.#regions.allMessages())] : notifications;
 	}
 
+	/** Sets the version in force at this process, of which the region hears otherwise: a watcher spread the changes that led up to it. */
+	setSpreadVersion(version: StoreVersion): MembershipEffect[] {
+		this.#version = version;
+		return this.isDelegate() ? this.#sendToRegions(this.#regions.allMessages()) : [];
+	}
+
 	/** Tells the region that the store, which this process watches, has just answered it. */
 	reportStoreContact(): MembershipEffect[] {
 		const {direct} = contactTargets(this.#selfKey, this.#selfKey, this.alive());
 		return this.#sendContact(direct, this.#selfKey, this.#version);
 	}
 
+	/**
+	 * Spreads the changes up to a version that the store has just told this process, which watches it, in the region; `parts` are those of their
+	 * encoding. All members receive them from this process, unless that would hold up its link; then some members relay them.
+	 */
+	spreadChanges(version: StoreVersion, parts: readonly Uint8Array[]): MembershipEffect[] {
+		const others = this.#table.aliveOthers();
+		const bytes = parts.reduce((total, {byteLength}) => total + byteLength, 0);
+		const isRelayed = others.length * bytes > maxDirectBytes;
+		const direct = isRelayed ? contactTargets(this.#selfKey, this.#selfKey, this.alive()).direct : others;
+		// A busy host is easily suspected, and serves its clients nevertheless.
+		const members = [...direct, ...this.#table.suspects().slice(0, maxSuspectsInformed)];
+		return parts.flatMap((partData, partIndex) => this.#sendContact(members, this.#selfKey, version, {
+			isRelayed, partIndex, partCount: parts.length, partData,
+		}));
+	}
+
 	/** Sets the daemon addresses from the platform's host list, for the own region and by other region. */
 	setListedAddresses(own: readonly string[], foreign: ReadonlyMap<string, readonly string[]>): void {
 		this.#listedAddresses = own.filter(address => address !== this.#self.peers);
@@ -352,23 +381,36 @@
 		return [];
 	}
 
-	#receiveContact({from, contactOf, contactRevision, contactEra = 0}: GossipMessage & {kind: 'news'}): MembershipEffect[] {
+	#receiveContact({
+		from, address, contactOf, contactRevision, contactEra = 0, isRelayed = true, partIndex, partCount, partData,
+	}: News): MembershipEffect[] {
 		if (contactOf === undefined || contactRevision === undefined || contactOf === this.#selfKey) {
 			return [];
 		}
 
 		// Only what the watcher itself sent is relayed, so that differing views of the region cannot form a loop.
-		const relayed = from === contactOf ? contactTargets(contactOf, this.#selfKey, this.alive()).relayed : [];
+		const relayed = from === contactOf && isRelayed ? contactTargets(contactOf, this.#selfKey, this.alive()).relayed : [];
 		const version = {era: contactEra, revision: contactRevision};
-		return [{kind: 'store_contact', version, rank: this.#delegateRankOf(contactOf)}, ...this.#sendContact(relayed, contactOf, version)];
+		const part = toPart({
+			isRelayed, partIndex, partCount, partData,
+		});
+		const effects: MembershipEffect[] = [...this.#sendContact(relayed, contactOf, version, part), {kind: 'store_contact', version, rank: this.#delegateRankOf(contactOf)}];
+		if (part !== undefined) {
+			effects.push({
+				kind: 'changes_part', origin: contactOf, address: this.#table.get(contactOf)?.member.peers ?? address, version, index: part.partIndex, count: part.partCount, data: part.partData,
+			});
+		}
+
+		return effects;
 	}
 
-	#sendContact(members: readonly Member[], contactOf: string, {era, revision}: StoreVersion): MembershipEffect[] {
-		// The era of the sender precedes that of the contact on the wire, so that it is sent with it even if it is 0.
-		const eras = era > 0 && {era: this.#version.era, contactEra: era};
-		return members.map(member => this.#send(member.peers, newsFor(member, {
-			...this.#commonFields(0), contactOf, contactRevision: revision, ...eras,
-		})));
+	#sendContact(members: readonly Member[], contactOf: string, {era, revision}: StoreVersion, part?: ChangesPart): MembershipEffect[] {
+		// The eras precede the part on the wire, and that of the sender the one of the contact, so that they are sent even if they are 0.
+		const eras = (era > 0 || part !== undefined) && {era: this.#version.era, contactEra: era};
+		const message: GossipMessage = {
+			kind: 'news', ...this.#commonFields(0), contactOf, contactRevision: revision, ...eras, ...part,
+		};
+		return members.map(member => this.#send(member.peers, message));
 	}
 
 	/** Requests an exchange of complete views if the sender's view differs and the last exchange is long enough ago. */
@@ -676,3 +718,13 @@
 		return {kind: 'send', address, message};
 	}
 }
+
+function toPart({isRelayed, partIndex, partCount, partData}: Pick<News, keyof ChangesPart>): ChangesPart | undefined {
+	if (isRelayed === undefined || partIndex === undefined || partCount === undefined || partData === undefined) {
+		return undefined;
+	}
+
+	return {
+		isRelayed, partIndex, partCount, partData,
+	};
+}
--- a/src/decisions/revision-tracker.ts
+++ b/src/decisions/revision-tracker.ts
@@ -22,11 +22,16 @@
 	readonly probeIntervalMs: number;
 	/** Time without contact to the store, own or reported, after which a host that is not designated probes the store itself. */
 	readonly staleAfterMs: number;
+	/**
+	 * Time without progress for which a host that knows of a newer version waits for the changes that watchers spread, before it pulls them. Pulls
+	 * cost their source and the caller far more processor time.
+	 */
+	readonly pullDelayMs: number;
 };
 
 /** Number of members of a region that are designated to watch the store. */
 const watchersPerRegion = 2;
-const defaultTiming: Timing = {probeIntervalMs: 500, staleAfterMs: 1000};
+const defaultTiming: Timing = {probeIntervalMs: 500, staleAfterMs: 1000, pullDelayMs: 0};
 /** Additional time per rank, so that one substitute usually reports before the others start. */
 const substituteStaggerMs = 150;
 /** Largest number of ranks that are staggered; it bounds the time until the last host acts for itself. */
@@ -64,6 +69,8 @@
 	#version: StoreVersion = {era: 0, revision: 0};
 	#newestReported: {version: StoreVersion; sources: string[]} = {version: {era: 0, revision: 0}, sources: []};
 	#behindSinceMs: number | undefined;
+	/** Time of the latest adoption. */
+	#progressMs = Number.NEGATIVE_INFINITY;
 	#pull: {readonly address: string; readonly progressMs: number} | undefined;
 	#isWatching = false;
 	#isSubstitute = false;
@@ -78,10 +85,10 @@
 	#lastStoreReadMs = Number.NEGATIVE_INFINITY;
 	#lastUnorderedPullMs = Number.NEGATIVE_INFINITY;
 
-	constructor(random: SeededRandom, startMs: number, timing: Timing = defaultTiming) {
+	constructor(random: SeededRandom, startMs: number, timing: Partial<Timing> = {}) {
 		this.#random = random;
 		this.#startMs = startMs;
-		this.#timing = timing;
+		this.#timing = {...defaultTiming, ...timing};
 		this.#contactMs = startMs;
 	}
 
@@ -140,14 +147,15 @@
 		return this.#startPull(nowMs);
 	}
 
-	/** Adopts the version of a complete, validated configuration if it is higher; returns whether it was adopted. */
-	adopt(version: StoreVersion): boolean {
+	/** Adopts the version of a complete, validated configuration if it is higher; returns whether it was adopted. `nowMs` matters only with a pull delay. */
+	adopt(version: StoreVersion, nowMs = Number.NEGATIVE_INFINITY): boolean {
 		this.#pull = undefined;
 		if (compareVersions(version, this.#version) <= 0) {
 			return false;
 		}
 
 		this.#version = version;
+		this.#progressMs = nowMs;
 		if (compareVersions(version, this.#newestReported.version) >= 0) {
 			this.#behindSinceMs = undefined;
 		}
@@ -247,7 +255,7 @@
 			effects.push({kind: 'read_store'});
 		}
 
-		return [...effects, ...this.#readIfBehind(nowMs)];
+		return [...effects, ...this.#startPull(nowMs), ...this.#readIfBehind(nowMs)];
 	}
 
 	#readIfBehind(nowMs: number): Effect[] {
@@ -292,8 +300,14 @@
 		return [{kind: 'watch', isWatching}];
 	}
 
+	/** Only changes of the era of this host's version can be applied to it, so that others are pulled at once. */
+	#isPullDelayed(nowMs: number): boolean {
+		const isSameEra = this.#version.revision > 0 && this.#newestReported.version.era === this.#version.era;
+		return isSameEra && nowMs - Math.max(this.#behindSinceMs ?? nowMs, this.#progressMs) < this.#timing.pullDelayMs;
+	}
+
 	#startPull(nowMs: number): Effect[] {
-		if (this.#pull !== undefined || compareVersions(this.#newestReported.version, this.#version) <= 0 || this.#newestReported.sources.length === 0) {
+		if (this.#isPullDelayed(nowMs) || this.#pull !== undefined || compareVersions(this.#newestReported.version, this.#version) <= 0 || this.#newestReported.sources.length === 0) {
 			return [];
 		}
 
--- a/src/services/gossip-wire.test.ts
+++ b/src/services/gossip-wire.test.ts
@@ -37,6 +37,9 @@
 	{
 		kind: 'news', contactOf: 'dsm-a-1/0123abcd', contactRevision: 6, era: 2, contactEra: 3, ...common,
 	},
+	{
+		kind: 'news', contactOf: 'dsm-a-1/0123abcd', contactRevision: 6, era: 0, contactEra: 0, isRelayed: false, partIndex: 1, partCount: 2, partData: new Uint8Array([1, 2, 3]), ...common,
+	},
 	{
 		kind: 'ack', seq: 2, era: 2, ...common,
 	},
@@ -61,6 +64,9 @@
 			contactOf: 'y/2', contactRevision: 6, era: 2, contactEra: 3, ...common,
 		}))).toEqual(['y/2', 6, 2, 3]);
 		expect(fieldsOf(newsFor(member, common))).toEqual([]);
+		expect(fieldsOf({
+			kind: 'news', contactOf: 'y/2', contactRevision: 6, era: 2, contactEra: 3, isRelayed: true, partIndex: 0, partCount: 1, partData: new Uint8Array([7]), ...common,
+		})).toEqual(['y/2', 6, 2, 3, true, 0, 1, new Uint8Array([7])]);
 	});
 
 	it('returns undefined for a malformed datagram instead of throwing', () => {
--- a/src/services/gossip-wire.ts
+++ b/src/services/gossip-wire.ts
@@ -39,13 +39,13 @@
 	},
 };
 
-/** Names of the fields that follow the common fields, by message kind, in wire order. The era came later, so that earlier releases ignore it there. */
+/** Names of the fields that follow the common fields, by message kind, in wire order. The era came later, and then the parts of changes, so that earlier releases ignore them there. */
 const restFields: Readonly<Record<string, readonly string[]>> = {
 	ping: ['seq', 'to', 'era'],
 	ack: ['seq', 'era'],
 	'ping-req': ['seq', 'target', 'targetAddress', 'era'],
 	gone: ['gone', 'era'],
-	news: ['contactOf', 'contactRevision', 'era', 'contactEra'],
+	news: ['contactOf', 'contactRevision', 'era', 'contactEra', 'isRelayed', 'partIndex', 'partCount', 'partData'],
 	region: ['step', 'region', 'ownVersion', 'ownHash', 'knownVersion', 'knownHash', 'era'],
 };
 
--- a/src/services/members-service.ts
+++ b/src/services/members-service.ts
@@ -29,6 +29,7 @@
 };
 
 type MembershipEffects = ReturnType<Membership['tick']>;
+type ChangesPart = Extract<MembershipEffects[number], {kind: 'changes_part'}>;
 
 /** Size of an IPv4 and a UDP header together. */
 const datagramHeaderBytes = 28;
@@ -43,7 +44,10 @@
 	readonly #changeListeners: Array<() => void> = [];
 	readonly #revisionListeners: Array<(version: StoreVersion, address: string) => void> = [];
 	readonly #storeContactListeners: Array<(version: StoreVersion, rank: number) => void> = [];
+	readonly #changesPartListeners: Array<(part: ChangesPart) => void> = [];
 	readonly #owners = new Map<string, Member>();
+	/** Message that was encoded last: the same one often goes to several members. */
+	#encoded: {readonly message: GossipMessage; readonly data: Uint8Array} | undefined;
 	#listedAddresses: ReadonlySet<string> = new Set();
 	#pollCount = 0;
 	#probeBreadth = 1;
@@ -100,6 +104,11 @@
 		this.#storeContactListeners.push(listener);
 	}
 
+	/** Registers a listener that is called with each part of changes of the store that a watcher of the region spreads. */
+	onChangesPart(listener: (part: ChangesPart) => void): void {
+		this.#changesPartListeners.push(listener);
+	}
+
 	/** Whether this host's view is reliable enough to decide on behalf of other hosts. */
 	isConfident(): boolean {
 		return this.membership.isConfident(this.#options.clock.nowMs());
@@ -181,6 +190,14 @@
 					break;
 				}
 
+				case 'changes_part': {
+					for (const listener of this.#changesPartListeners) {
+						listener(effect);
+					}
+
+					break;
+				}
+
 				case 'changed': {
 					isChanged = true;
 					break;
@@ -219,7 +236,11 @@
 	}
 
 	#send(address: string, message: GossipMessage): void {
-		const data = gossipWire.encode(message);
+		if (this.#encoded?.message !== message) {
+			this.#encoded = {message, data: gossipWire.encode(message)};
+		}
+
+		const {data} = this.#encoded;
 		const [host, port] = address.split(':');
 		this.#options.metrics.count('gossip_sent_bytes', {}, data.byteLength + datagramHeaderBytes);
 		this.#options.metrics.count('gossip_sent_messages');
--- a/src/services/replica-service.test.ts
+++ b/src/services/replica-service.test.ts
@@ -12,6 +12,7 @@
 import {Lifecycle} from '../kernel/lifecycle.js';
 import {type Logger} from './logger.js';
 import {type MembersService} from './members-service.js';
+import {itemChangesWire} from './item-changes-wire.js';
 import {Metrics} from './metrics.js';
 import {type PeerClient} from './peer-client.js';
 import {ReplicaService} from './replica-service.js';
@@ -27,6 +28,7 @@
 	let response: unknown;
 	let replica: ReplicaService;
 	let reportRevision: (version: StoreVersion, address: string) => void;
+	let receivePart: Parameters<MembersService['onChangesPart']>[0];
 	let requests: unknown[];
 	let metrics: Metrics;
 	let nowMs: number;
@@ -58,9 +60,12 @@
 			admission: new TransferAdmission({linkMbps: 10}),
 		});
 		replica.follow({
-			membership: {setVersion: () => [], delegateRank: () => 5},
+			membership: {setVersion: () => [], setSpreadVersion: () => [], delegateRank: () => 5},
 			run: () => undefined,
 			onStoreContact: () => undefined,
+			onChangesPart(listener: typeof receivePart) {
+				receivePart = listener;
+			},
 			onRevision(listener: typeof reportRevision) {
 				reportRevision = listener;
 			},
@@ -109,6 +114,55 @@
 		expect(answer(0)?.items).toHaveLength(1);
 	});
 
+	describe('with changes that a watcher spreads', () => {
+		const spread = (sinceRevision: number, version: StoreVersion, items: readonly StoreItem[], removals: Array<[string, number, number]> = []) => {
+			receivePart({
+				kind: 'changes_part',
+				origin: 'watcher/1',
+				address: 'watcher',
+				version,
+				index: 0,
+				count: 1,
+				data: itemChangesWire.encode({
+					sinceRevision, revision: version.revision, items: [...items], removals,
+				})!,
+			});
+		};
+
+		beforeEach(() => {
+			replica.items.applyFullRead([itemAt('a', 2)], at(3, 1), 0);
+		});
+
+		it('applies those that follow on what it has, without a pull', () => {
+			const seen: StoreChange[] = [];
+			replica.onChange(changes => {
+				seen.push(...changes);
+			});
+			spread(3, at(6, 1), [itemAt('b', 5)], [['a', 6, 400]]);
+			spread(5, at(8, 1), [itemAt('c', 8)]);
+			expect([replica.items.version, keys(), requests]).toEqual([at(8, 1), ['b', 'c'], []]);
+			expect(seen).toContainEqual({
+				kind: 'removed', key: 'a', revision: 6, retainUntilMs: 900,
+			});
+		});
+
+		// Guards against a replica that counts as complete without a change that was lost on the way.
+		it('pulls what is missing before them', async () => {
+			response = {
+				era: 1, revision: 9, isWhole: false, sinceRevision: 3, items: [itemAt('b', 5), itemAt('c', 8)], removals: [], gaps: [],
+			};
+			spread(6, at(9, 1), [itemAt('c', 8)]);
+			expect([replica.items.version, keys()]).toEqual([at(3, 1), ['a', 'c']]);
+			await expect.poll(() => replica.items.version).toEqual(at(9, 1));
+			expect(requests).toEqual([{haveRevision: 3, haveEra: 1, acceptsGaps: true}]);
+		});
+
+		it.each([at(6), at(6, 2), at(3, 1)])('ignores those of another era, and what it has already: %o', version => {
+			spread(3, version, [itemAt('b', 5)]);
+			expect([replica.items.version, keys(), requests]).toEqual([at(3, 1), ['a'], []]);
+		});
+	});
+
 	describe('after a restore of the store', () => {
 		let changes: StoreChange[];
 		let eras: Array<readonly [number, number]>;
--- a/src/services/replica-service.ts
+++ b/src/services/replica-service.ts
@@ -4,11 +4,14 @@
 import {type StoreChange} from '../contracts/store-change.js';
 import {type RevisionTracker} from '../decisions/revision-tracker.js';
 import {ItemReplica} from '../decisions/item-replica.js';
+import {PartAssembler} from '../decisions/part-assembler.js';
+import {splitIntoParts} from '../decisions/split-into-parts.js';
 import {type StoreOutage} from '../decisions/store-outage.js';
 import {type TransferAdmission} from '../decisions/transfer-admission.js';
 import {compareVersions} from '../decisions/compare-versions.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
 import {describeCallError} from './describe-call-error.js';
+import {itemChangesWire} from './item-changes-wire.js';
 import {type Logger} from './logger.js';
 import {type MembersService} from './members-service.js';
 import {type Metrics} from './metrics.js';
@@ -30,6 +33,9 @@
 };
 
 type RevisionTrackerEffects = ReturnType<RevisionTracker['tick']>;
+type ChangesPart = Parameters<Parameters<MembersService['onChangesPart']>[0]>[0];
+type WatchedChanges = NonNullable<Parameters<ConstructorParameters<typeof StoreReader>[0]['onChanges']>[1]>;
+type Removal = Parameters<ItemReplica['applyDelta']>[0]['removals'][number];
 type ChangeListener = (changes: readonly StoreChange[], source: string) => void;
 
 const tickMs = 100;
@@ -50,6 +56,7 @@
 	readonly #listeners: ChangeListener[] = [];
 	readonly #eraListeners: Array<(era: number, retainUntilMs: number) => Promise<void> | void> = [];
 	readonly #reader: StoreReader;
+	readonly #parts = new PartAssembler();
 	#members: MembersService | undefined;
 	#watch: AbortController | undefined;
 	/** Newest era that the store stated to this host, or a peer with items of it. */
@@ -69,8 +76,8 @@
 			onRead(isAnswered) {
 				options.revisionTracker.recordRead(isAnswered);
 			},
-			onChanges: changes => {
-				this.#propagateChanges(changes, 'store');
+			onChanges: (changes, watched) => {
+				this.#propagateChanges(changes, 'store', watched === undefined || !this.#spread(watched) ? undefined : 'spread');
 			},
 			onFullRead(era) {
 				options.revisionTracker.recordFullRead(era);
@@ -124,6 +131,9 @@
 		members.onStoreContact((version, rank) => {
 			this.#runEffects(revisionTracker.recordReportedContact(version, rank, clock.nowMs()));
 		});
+		members.onChangesPart(part => {
+			this.#receivePart(part);
+		});
 		this.#options.metrics.gauge('store_era', () => this.items.version.era);
 		this.#options.metrics.gauge('store_watching', () => Number(revisionTracker.isWatching));
 		lifecycle.every('replica tick', tickMs, () => {
@@ -271,9 +281,7 @@
 				...pull,
 				version: {era, revision: pull.revision},
 				sinceRevision,
-				removals: pull.removals.map(([key, revision, retainMs]) => ({
-					kind: 'removed', key, revision, retainUntilMs: nowMs + retainMs,
-				})),
+				removals: toRemovals(pull.removals, nowMs),
 				gaps: gaps.map(([afterRevision, upToRevision]) => ({afterRevision, upToRevision})),
 			}, outage.eraRetainUntilMs(nowMs));
 			const tookMs = nowMs - startMs;
@@ -317,8 +325,69 @@
 		}
 	}
 
-	#propagateChanges(changes: readonly StoreChange[], source: string): void {
-		const {revisionTracker, metrics} = this.#options;
+	/** Spreads what a watch returned in the region; returns whether it did. What is too large is pulled instead. */
+	#spread({sinceRevision, version, changes}: WatchedChanges): boolean {
+		const {metrics, clock} = this.#options;
+		if (this.#members === undefined || version.revision <= sinceRevision) {
+			return false;
+		}
+
+		const nowMs = clock.nowMs();
+		const encoded = itemChangesWire.encode({
+			sinceRevision,
+			revision: version.revision,
+			items: changes.flatMap(change => (change.kind === 'written' ? [change.item] : [])),
+			removals: changes.flatMap(change => (change.kind === 'removed' ? [[change.key, change.revision, Math.max(0, change.retainUntilMs - nowMs)] as [string, number, number]] : [])),
+		});
+		const parts = encoded === undefined ? undefined : splitIntoParts(encoded);
+		metrics.count('replica_spreads', {result: parts === undefined ? 'too_large' : 'sent'});
+		if (parts === undefined) {
+			return false;
+		}
+
+		this.#members.run(this.#members.membership.spreadChanges(version, parts));
+		return true;
+	}
+
+	/** Applies changes that a watcher spreads once all their parts have arrived. If earlier ones are missing here, they are pulled. */
+	#receivePart({origin, address, version, index, count, data}: ChangesPart): void {
+		const {metrics, clock, revisionTracker} = this.#options;
+		if (this.items.revision === 0 || version.era !== this.items.version.era || compareVersions(version, this.items.version) <= 0) {
+			return;
+		}
+
+		const encoded = this.#parts.add({
+			origin, version, index, count, data,
+		});
+		if (encoded === undefined) {
+			return;
+		}
+
+		const spread = itemChangesWire.decode(encoded);
+		if (spread === undefined) {
+			metrics.count('replica_spreads_received', {result: 'invalid'});
+			return;
+		}
+
+		const nowMs = clock.nowMs();
+		const isComplete = spread.sinceRevision <= this.items.revision;
+		metrics.count('replica_spreads_received', {result: isComplete ? 'complete' : 'incomplete'});
+		const changes = this.items.applyDelta({
+			sinceRevision: spread.sinceRevision,
+			version,
+			items: spread.items,
+			removals: toRemovals(spread.removals, nowMs),
+			gaps: [],
+		}, nowMs);
+		this.#propagateChanges(changes, address, 'spread');
+		if (!isComplete) {
+			this.#runEffects(revisionTracker.recordVersion(version, address, nowMs));
+		}
+	}
+
+	/** Passes changes on to the services, and announces a new version unless the region hears of it with changes that a watcher spreads. */
+	#propagateChanges(changes: readonly StoreChange[], source: string, how: 'announced' | 'spread' = 'announced'): void {
+		const {revisionTracker, metrics, clock} = this.#options;
 		if (changes.length > 0) {
 			metrics.count('replica_changes', {source: source === 'store' ? 'store' : 'peer'}, changes.length);
 			this.#notifyListeners(changes, source);
@@ -327,9 +396,9 @@
 		if (compareVersions(this.items.version, revisionTracker.version) > 0) {
 			const isNewEra = this.items.version.era > revisionTracker.version.era;
 			const {behindSinceMs} = revisionTracker;
-			revisionTracker.adopt(this.items.version);
+			revisionTracker.adopt(this.items.version, clock.nowMs());
 			this.#recordCatchUp(behindSinceMs, source);
-			this.#members?.run(this.#members.membership.setVersion(this.items.version, revisionTracker.isWatching));
+			this.#announce(how);
 			if (isNewEra && source !== 'store' && this.#watch !== undefined) {
 				// The watch waits for changes after a revision of another era.
 				this.#startWatch();
@@ -337,6 +406,14 @@
 		}
 	}
 
+	#announce(how: 'announced' | 'spread'): void {
+		const {version} = this.items;
+		const membership = this.#members?.membership;
+		if (membership !== undefined) {
+			this.#members!.run(how === 'spread' ? membership.setSpreadVersion(version) : membership.setVersion(version, this.#options.revisionTracker.isWatching));
+		}
+	}
+
 	/** Records for how long this host knew of a newer version without having it. */
 	#recordCatchUp(behindSinceMs: number | undefined, source: string): void {
 		const {revisionTracker, metrics, logger, clock} = this.#options;
@@ -380,3 +457,9 @@
 		}
 	}
 }
+
+function toRemovals(removals: ReadonlyArray<readonly [string, number, number]>, nowMs: number): Removal[] {
+	return removals.map(([key, revision, retainMs]) => ({
+		kind: 'removed', key, revision, retainUntilMs: nowMs + retainMs,
+	}));
+}
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -59,6 +59,8 @@
 /** Number of ticks of the failure detector in one gossip period. */
 const ticksPerPeriod = 5;
 const hostListPollMs = 1000;
+/** Time for which a host waits for changes that watchers of the store spread: two hops, each a turn of a busy host's event loop. */
+const pullDelayMs = 300;
 /** Interval at which idle connections are closed. */
 const sweepMs = 2000;
 /** Entries whose leases expired while the store was unavailable are written again within about two seconds of its recovery. */
@@ -134,7 +136,7 @@
 		.add({
 			name: 'replica', requires: ['clock', 'logger', 'metrics', 'prefixStore', 'peerClient'],
 			start: ({get}) => new ReplicaService({
-				revisionTracker: new RevisionTracker(new SeededRandom(seed + 1), get('clock').nowMs()),
+				revisionTracker: new RevisionTracker(new SeededRandom(seed + 1), get('clock').nowMs(), {pullDelayMs}),
 				outage: new StoreOutage(entryReappearanceMs),
 				clock: get('clock'),
 				store: get('prefixStore'),
--- a/test/store-watch-model.ts
+++ b/test/store-watch-model.ts
@@ -4,6 +4,7 @@
 import {SimulatedNetwork} from '../stand-ins/simulated-network.js';
 
 type Effect = ReturnType<RevisionTracker['tick']>[number];
+type NetworkEffect = Parameters<NonNullable<ConstructorParameters<typeof SimulatedNetwork>[0]['onEffect']>>[1];
 
 type Host = {
 	readonly tracker: RevisionTracker;
@@ -27,6 +28,7 @@
 const stepMs = 50;
 /** Time of a call to the store or to a peer. */
 const callMs = 40;
+const pullDelayMs = 300;
 const pullTimeoutMs = 600;
 /** Time until the head of the response to a call between hosts after which the call is given up. */
 const controlTimeoutMs = 1500;
@@ -45,7 +47,11 @@
 	readonly #turnMs: number | undefined;
 
 	/** `turnMs`: length of a turn of each host's event loop; without it, calls between hosts take a short time. */
-	constructor({hosts, seed, loss = 0, turnMs}: {readonly hosts: number; readonly seed: number; readonly loss?: number; readonly turnMs?: number}) {
+	constructor({
+		hosts, seed, loss = 0, turnMs,
+	}: {
+		readonly hosts: number; readonly seed: number; readonly loss?: number; readonly turnMs?: number;
+	}) {
 		this.#turnMs = turnMs;
 		this.network = new SimulatedNetwork({
 			regions: {dsm: hosts}, seed, loss, ...(turnMs !== undefined && {turnMs}), onEffect: (index, effect) => {
@@ -53,12 +59,13 @@
 			},
 			convey: (message, from, to) => {
 				const {era, ...rest} = message;
-				const {contactEra, ...legacy} = rest as typeof rest & {readonly contactEra?: number};
+				const {contactEra, partIndex, partCount, partData, ...legacy} = rest as Extract<typeof rest, {kind: 'news'}>;
 				return this.hosts[from]!.isLegacy || this.hosts[to]!.isLegacy ? legacy : message;
 			},
 		});
 		this.hosts = this.network.nodes.map((_, index) => ({
-			tracker: new RevisionTracker(new SeededRandom(seed + index), 0), isWatching: false, isCut: false, isRejected: false, isLegacy: false, probes: 0, servingUntilMs: 0, substituteSinceMs: undefined,
+			tracker: new RevisionTracker(new SeededRandom(seed + index), 0, {pullDelayMs}),
+			isWatching: false, isCut: false, isRejected: false, isLegacy: false, probes: 0, servingUntilMs: 0, substituteSinceMs: undefined,
 		}));
 	}
 
@@ -111,15 +118,40 @@
 		}
 
 		if (host.isWatching && !host.isCut && !host.isRejected) {
+			this.#spread(index);
 			this.#adopt(index, this.version);
 		}
 	}
 
-	#adopt(index: number, {era, revision}: StoreVersion): void {
+	/** Spreads the changes that follow on the host's version; the model encodes only the revision on which they follow. */
+	#spread(index: number): void {
+		const {tracker, isLegacy} = this.hosts[index]!;
+		const {era, revision} = tracker.version;
+		if (!isLegacy && revision > 0 && era === this.era && revision < this.revision) {
+			this.network.act(index, membership => membership.spreadChanges(this.version, [new Uint8Array(new Float64Array([revision]).buffer)]));
+			this.#adopt(index, this.version, true);
+		}
+	}
+
+	#receiveSpread(index: number, {version, data, address}: Extract<NetworkEffect, {kind: 'changes_part'}>): void {
+		const {tracker, isLegacy} = this.hosts[index]!;
+		const {era, revision} = tracker.version;
+		if (isLegacy || revision === 0 || version.era !== era || version.revision <= revision) {
+			return;
+		}
+
+		if (new Float64Array(new Uint8Array(data).buffer)[0]! <= revision) {
+			this.#adopt(index, version, true);
+		} else {
+			this.#runEffects(index, tracker.recordVersion(version, address, this.network.nowMs));
+		}
+	}
+
+	#adopt(index: number, {era, revision}: StoreVersion, isSpread = false): void {
 		const {tracker, isLegacy} = this.hosts[index]!;
 		const version = {era: isLegacy ? 0 : era, revision};
-		if (tracker.adopt(version)) {
-			this.network.act(index, membership => membership.setVersion(version, tracker.isWatching));
+		if (tracker.adopt(version, this.network.nowMs)) {
+			this.network.act(index, membership => (isSpread ? membership.setSpreadVersion(version) : membership.setVersion(version, tracker.isWatching)));
 		}
 	}
 
@@ -219,13 +251,30 @@
 		});
 	}
 
-	#runMembershipEffect(index: number, effect: Parameters<NonNullable<ConstructorParameters<typeof SimulatedNetwork>[0]['onEffect']>>[1]): void {
+	#runMembershipEffect(index: number, effect: NetworkEffect): void {
 		const {tracker} = this.hosts[index]!;
 		const {nowMs} = this.network;
-		if (effect.kind === 'revision') {
-			this.#runEffects(index, tracker.recordVersion(effect.version, effect.address, nowMs));
-		} else if (effect.kind === 'store_contact') {
-			this.#runEffects(index, tracker.recordReportedContact(effect.version, effect.rank, nowMs));
+		switch (effect.kind) {
+			case 'revision': {
+				this.#runEffects(index, tracker.recordVersion(effect.version, effect.address, nowMs));
+				break;
+			}
+
+			case 'changes_part': {
+				this.#receiveSpread(index, effect);
+				break;
+			}
+
+			case 'store_contact': {
+				this.#runEffects(index, tracker.recordReportedContact(effect.version, effect.rank, nowMs));
+				break;
+			}
+
+			case 'send':
+			case 'sync':
+			case 'changed': {
+				break;
+			}
 		}
 	}
 
