What a host decided before a wait is decided again before it sends

The records don't tell whether these hosts had the news by then; by the code, two decisions outlived a wait whatever the host learnt meanwhile: - the instance, while a connection to it was being opened: up to 0.3 s, and longer where the event loop is late, since the timeout is then late, too; - the service and the route, while a body arrived, behind other requests of the connection, and over all attempts of a request.

Now the request is not written if the instance no longer serves, or another configuration is in force, once the connection is open; this counts as a send that proves that nothing ran, and another instance is chosen. A request that was admitted by an earlier configuration is matched anew before each attempt; it keeps its service if the route still has it, so that it takes no second turn of the traffic split.

Costs nothing while nothing changes: two comparisons for each attempt, a table look-up for each opened connection.

--- a/src/adapters/connection-pool.ts
+++ b/src/adapters/connection-pool.ts
@@ -10,6 +10,8 @@
 	lastReceivedMs: number | undefined;
 	/** Whether the present exchange began after the connection had been idle for longer than the usual limit. */
 	wasLongIdle: boolean;
+	/** Returns whether the exchange that opens the connection may still begin once it is open; it always may unless this is given. */
+	mayBegin: (() => boolean) | undefined;
 	/** Whether the connection failed; a response that is delimited by the end of the connection may then be truncated. */
 	hasFailed: boolean;
 	/** Records that what was received until now belongs to the response. */
@@ -73,8 +75,11 @@
 		return this.size === 0 && this.#options.clock.nowMs() >= this.#longIdleFromMs;
 	}
 
-	/** Returns a connection for one exchange, or `undefined` if the limit of connections is reached. `allowsLongIdle` is for exchanges that may be repeated. */
-	acquire(allowsLongIdle = false): Connection | undefined {
+	/**
+	 * Returns a connection for one exchange, or `undefined` if the limit of connections is reached. `allowsLongIdle` is for exchanges that may be
+	 * repeated. If the connection has to be opened and `mayBegin` then returns false, the exchange fails before anything of it is written.
+	 */
+	acquire(allowsLongIdle = false, mayBegin?: () => boolean): Connection | undefined {
 		this.closeExpired();
 		const isLongIdle = this.#isLongIdle(this.#idle.at(-1));
 		if (isLongIdle && !allowsLongIdle && this.size >= this.#options.maxConnections) {
@@ -84,6 +89,7 @@
 		const conn = (isLongIdle && !allowsLongIdle ? undefined : this.#idle.pop()) ?? this.#open();
 		if (conn !== undefined) {
 			conn.wasLongIdle = isLongIdle && allowsLongIdle;
+			conn.mayBegin = mayBegin;
 			conn.markProgress();
 			this.#busy.add(conn);
 		}
@@ -174,6 +180,12 @@
 			connect: (options, callback) => {
 				this.#connect(options, (...result) => {
 					const [err, socket] = result;
+					if (err === null && conn.mayBegin?.() === false) {
+						socket.destroy();
+						callback(new Error('the exchange may no longer begin'), null);
+						return;
+					}
+
 					if (err === null) {
 						// The client opens a connection anew if the peer closed the one before in an orderly way while it was idle.
 						conn.lastReceivedMs = undefined;
@@ -189,7 +201,7 @@
 			},
 		});
 		const conn: Connection = {
-			client, lastReceivedMs: undefined, wasLongIdle: false, hasFailed: false, markProgress: () => undefined,
+			client, lastReceivedMs: undefined, wasLongIdle: false, mayBegin: undefined, hasFailed: false, markProgress: () => undefined,
 		};
 		return conn;
 	}
--- a/src/adapters/instance-client.ts
+++ b/src/adapters/instance-client.ts
@@ -88,7 +88,11 @@
 	/** Sends one request; returns when it has ended, or when a response that is too long to be buffered has begun. */
 	async send(call: InstanceCall): Promise<InstanceResult> {
 		const pool = this.#pools.get(call.address);
-		const conn = pool.acquire(call.allowsLongIdle);
+		let isOutdated = false;
+		const conn = pool.acquire(call.allowsLongIdle, () => {
+			isOutdated = call.isCurrent?.() === false;
+			return !isOutdated;
+		});
 		if (conn === undefined) {
 			return {kind: 'not_sent', detail: 'the limit of connections is reached'};
 		}
@@ -156,6 +160,10 @@
 			};
 		} catch (err) {
 			pool.discard(conn);
+			if (isOutdated) {
+				return {kind: 'outdated'};
+			}
+
 			if (scope.isOverdue) {
 				pool.closeIdleSince(startMs);
 				if (conn.wasLongIdle) {
--- a/src/contracts/instance-call.ts
+++ b/src/contracts/instance-call.ts
@@ -23,6 +23,8 @@
 	 * again. Not allowed unless it is given.
 	 */
 	readonly allowsLongIdle?: boolean;
+	/** Returns whether the request may still be sent to this instance. Called when a connection has been opened for it, which takes time. */
+	readonly isCurrent?: () => boolean;
 	/** Called with the head of each response that arrives, including one that belongs to another request, before its body is read. */
 	readonly onHead: (info: ReturnType<HttpDialect['readResponse']>) => void;
 	/** Aborted when the client closes its connection. */
--- a/src/contracts/instance-result.ts
+++ b/src/contracts/instance-result.ts
@@ -20,6 +20,8 @@
 	| (ResponseHead & {readonly kind: 'not_run'})
 	/** No part of the request was sent. */
 	| {readonly kind: 'not_sent'; readonly detail: string}
+	/** No part of the request was sent: once a connection was open, the caller no longer wanted to send to this instance. */
+	| {readonly kind: 'outdated'}
 	/** The response belongs to another request or violates the protocol. */
 	| {readonly kind: 'broken'; readonly detail: string}
 	/** The connection was lost before the end of the response. */
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -112,6 +112,12 @@
 		return choice?.kind === 'instance' ? choice : {kind: 'busy', excessMs};
 	}
 
+	/** Returns whether a chosen instance still accepts requests, by what this host knows now. */
+	isServing({instance: {id, service, address, born}}: Candidate): boolean {
+		const known = this.#options.table.servingOne(id, service)?.instance;
+		return known?.address === address && known.born === born;
+	}
+
 	/** Returns the instance of the own region where the request is expected to end first among those where it may wait as long as is expected. */
 	#soonestEnding(allowed: readonly Candidate[], req: PlacementRequest, nowMs: number): WaitingOption | undefined {
 		const [soonest] = allowed
--- a/src/services/accounts/account-check.ts
+++ b/src/services/accounts/account-check.ts
@@ -22,7 +22,7 @@
 		/** Regions that both the route and the account allow; empty for all. */
 		readonly allowedRegions: readonly string[];
 	}
-	| {readonly kind: 'refused'; readonly account: Account | undefined; readonly outcome: Exclude<ProxyOutcome, {kind: 'answer'}>};
+	| {readonly kind: 'refused'; readonly route: Route | undefined; readonly account: Account | undefined; readonly outcome: Exclude<ProxyOutcome, {kind: 'answer'}>};
 
 /** Only another configuration can change this refusal; an earlier retry is in vain. */
 const noCommonRegionRetryAfterMs = 60_000;
@@ -57,7 +57,7 @@
 			case 'missing_key':
 			case 'unknown_key': {
 				return {
-					kind: 'refused', account: undefined, outcome: {
+					kind: 'refused', route, account: undefined, outcome: {
 						kind: 'invalid', reason: 'unauthorized', figures: {cause: identity.kind, configuration: table.version, accounts: table.accounts.size},
 					},
 				};
@@ -69,7 +69,7 @@
 		const allowedRegions = commonRegions(route.allowedRegions, account.allowedRegions);
 		if (allowedRegions === undefined) {
 			return {
-				kind: 'refused', account, outcome: {
+				kind: 'refused', route, account, outcome: {
 					kind: 'not_run',
 					reason: 'no_common_region',
 					retryAfterMs: noCommonRegionRetryAfterMs,
--- a/src/services/attempt-observer.ts
+++ b/src/services/attempt-observer.ts
@@ -156,6 +156,7 @@
 			return 'lost';
 		}
 
+		case 'outdated':
 		case 'broken':
 		case 'overdue':
 		case 'cancelled': {
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -1,7 +1,6 @@
 import {type InstanceClient} from '../adapters/instance-client.js';
 import {type Clock} from '../contracts/clock.js';
 import {type InstanceResult} from '../contracts/instance-result.js';
-import {type Route} from '../contracts/route.js';
 import {type InstanceTable} from '../decisions/instance-table.js';
 import {type Placement} from '../decisions/placement.js';
 import {type RetryShare} from '../decisions/retry-share.js';
@@ -9,7 +8,6 @@
 import {scopedObjectKey} from '../decisions/scoped-object-key.js';
 import {isOverBefore} from '../decisions/is-over-before.js';
 import {RequestAttempts} from '../decisions/request-attempts.js';
-import {AccountCheck} from './accounts/account-check.js';
 import {type Logger} from './logger.js';
 import {type LoopTurns} from './loop-turns.js';
 import {type Metrics} from './metrics.js';
@@ -21,6 +19,7 @@
 import {type QuotaService} from './quotas/quota-service.js';
 import {RequestQuota} from './quotas/request-quota.js';
 import {readIdentifiedBody} from './read-identified-body.js';
+import {RequestAdmission} from './request-admission.js';
 import {RequestLog} from './request-log.js';
 import {type AttemptObserver} from './attempt-observer.js';
 import {type SteeringService} from './steering-service.js';
@@ -62,8 +61,7 @@
 	readonly quota: RequestQuota;
 };
 
-type Admission = ReturnType<AccountCheck['admit']>;
-type Admitted = Extract<Admission, {kind: 'admitted'}>;
+type Admitted = Extract<ReturnType<RequestAdmission['admit']>, {kind: 'admitted'}>;
 /** What determined a refusal for lack of capacity: by how much the expected wait is too long, the time until the deadline, and the usual run time. */
 type BusyFigures = {readonly excessWaitMs: number; readonly remainingMs: number; readonly usualRunMs: number};
 /** Choice that names no instance. */
@@ -74,7 +72,6 @@
 const maxPipelined = 16;
 /** Time for which the rest of a body is read after the instance was lost, to identify the request; the client is sending it anyway. */
 const maxRestReadMs = 1000;
-const notReadyRetryAfterMs = 500;
 /** Base of the time after which a client should retry, by the reason why its request did not run. */
 const baseRetryAfterMs = {
 	timeout: 250, shed: 250, no_upstream: 500, retry_budget: 250, busy: 50, stopping: 0,
@@ -88,7 +85,7 @@
 export class ProxyService {
 	readonly #options: ProxyOptions;
 	readonly #requestLog: RequestLog;
-	readonly #accounts: AccountCheck;
+	readonly #admission: RequestAdmission;
 	#inFlight = 0;
 	/** End of a planned stop, in monotonic milliseconds. */
 	#finishByMs = Number.POSITIVE_INFINITY;
@@ -96,7 +93,7 @@
 	constructor(options: ProxyOptions) {
 		this.#options = options;
 		this.#requestLog = new RequestLog(options.logger);
-		this.#accounts = new AccountCheck(options.metrics);
+		this.#admission = new RequestAdmission(options);
 	}
 
 	/** Number of requests without an outcome yet. */
@@ -117,15 +114,14 @@
 			// The end of the client's connection may already have arrived, too, if the request was read late.
 			await turns.next();
 			metrics.observe('request_turn_seconds', {}, clock.nowMs() - req.arrivedMs);
-			const route = this.#matchRoute(req);
-			const admission = this.#admit(req, route);
+			const admission = this.#admission.admit(req);
 			const outcome = admission.kind === 'refused' ? admission.outcome : await this.#handle(req, admission);
 			const tookMs = clock.nowMs() - req.arrivedMs;
 			const reason = 'reason' in outcome ? outcome.reason : '';
 			metrics.count('proxied_requests', {outcome: outcome.kind, reason});
 			metrics.observe('proxied_seconds', {outcome: outcome.kind}, tookMs);
 			this.#requestLog.logEnd({
-				requestId: req.requestId, route, admission, outcome, tookMs,
+				requestId: req.requestId, route: admission.route, admission, outcome, tookMs,
 			});
 			return outcome;
 		} finally {
@@ -133,28 +129,9 @@
 		}
 	}
 
-	#matchRoute(req: ProxyRequest): Route | undefined {
-		const [path] = req.target.split('?', 1);
-		return this.#options.steering.match(req.host, path!);
-	}
-
-	/** Decides whether a request may run, from its head alone. It is called before the traffic split, whose turns are for requests that may run. */
-	#admit(req: ProxyRequest, route: Route | undefined): Admission {
-		const table = this.#options.steering.routes;
-		if (req.disconnect.aborted) {
-			return refused({kind: 'unknown', reason: 'cancelled'});
-		}
-
-		if (table === undefined) {
-			return refused({kind: 'not_run', reason: 'not_ready', retryAfterMs: notReadyRetryAfterMs});
-		}
-
-		return route === undefined ? refused({kind: 'invalid', reason: 'no_route'}) : this.#accounts.admit(req, route, table);
-	}
-
 	async #handle(req: ProxyRequest, admission: Admitted): Promise<ProxyOutcome> {
 		const {steering, quarantine} = this.#options;
-		const {route, table} = admission;
+		const {route} = admission;
 		const service = steering.nextServiceOf(route);
 		if (service === undefined) {
 			return {kind: 'invalid', reason: 'no_route'};
@@ -182,28 +159,29 @@
 			return read.outcome;
 		}
 
-		// The account may have lost its key while the request waited or its body arrived.
-		const latest = steering.routes === table ? admission : this.#accounts.admit(req, route, steering.routes!);
-		if (latest.kind === 'refused') {
-			return latest.outcome;
+		// Another configuration may have come into force while the request waited or its body arrived.
+		const decided = this.#admission.decideAgain(req, {admission, service});
+		if (decided.kind === 'refused') {
+			return decided.outcome;
 		}
 
 		if (quarantine.isBlocked(read.body.fingerprint)) {
 			return {kind: 'not_run', reason: 'quarantined', retryAfterMs: quarantinedRetryAfterMs};
 		}
 
-		this.#options.retries.recordRequest(service, this.#options.clock.nowMs());
-		const objectKey = req.objectKey === undefined ? undefined : scopedObjectKey.of(req.objectKey, latest.allowedRegions, route.allowedRegions);
-		if (route.hasAffinity) {
+		this.#options.retries.recordRequest(decided.service, this.#options.clock.nowMs());
+		const latest = decided.admission;
+		const objectKey = objectKeyOf(req, latest);
+		if (latest.route.hasAffinity) {
 			this.#options.planner.recordRequest({
-				service, route: route.prefix, priority: latest.priority, objectKey, allowedRegions: latest.allowedRegions,
+				service: decided.service, route: latest.route.prefix, priority: latest.priority, objectKey, allowedRegions: latest.allowedRegions,
 			});
 		}
 
 		const context: RequestContext = {
 			req,
 			admission: latest,
-			service,
+			service: decided.service,
 			objectKey,
 			body: read.body,
 			deadlineMs,
@@ -220,11 +198,24 @@
 	}
 
 	/** Sends the request until an instance responds or no further attempt is allowed. */
-	async #sendUntilAnswered(context: RequestContext): Promise<ProxyOutcome> {
+	async #sendUntilAnswered(initialContext: RequestContext): Promise<ProxyOutcome> {
 		const {clock, retries, countHosts, metrics, logger} = this.#options;
-		const {req, attempts, service, deadlineMs, triedInstanceIds} = context;
+		const {req, attempts, deadlineMs, triedInstanceIds} = initialContext;
+		let context = initialContext;
 		let lastResult: InstanceResult | undefined;
 		for (;;) {
+			const decided = this.#admission.decideAgain(req, context);
+			if (decided.kind === 'refused') {
+				return attempts.mayHaveRun ? this.#outcomeWithoutResponse(attempts, lastResult, 'shed') : decided.outcome;
+			}
+
+			if (decided.admission !== context.admission) {
+				context = {
+					...context, admission: decided.admission, service: decided.service, objectKey: objectKeyOf(req, decided.admission),
+				};
+			}
+
+			const {service} = context;
 			const nowMs = clock.nowMs();
 			if (req.disconnect.aborted) {
 				return {kind: 'unknown', reason: 'cancelled'};
@@ -268,6 +259,11 @@
 			}
 
 			lastResult = await this.#send(context, choice.entry, choice.waitMs);
+			if (lastResult.kind === 'outdated') {
+				metrics.count('outdated_choices', {service});
+				triedInstanceIds.delete(choice.entry.instance.id);
+			}
+
 			if (lastResult.kind === 'whole' || lastResult.kind === 'partial') {
 				attempts.recordResult('answered');
 				return {
@@ -321,7 +317,7 @@
 	}
 
 	async #send(context: RequestContext, entry: InstanceEntry, expectedWaitMs: number): Promise<InstanceResult> {
-		const {clock, client, observer, notices} = this.#options;
+		const {clock, client, observer, notices, placement, steering} = this.#options;
 		const {req, admission, body, service, objectKey, deadlineMs} = context;
 		const {id, address} = entry.instance;
 		const remainingMs = Math.max(1, deadlineMs - clock.nowMs());
@@ -340,6 +336,7 @@
 			body: body.content,
 			remainingMs,
 			allowsLongIdle: context.attempts.mayBeLost,
+			isCurrent: () => placement.isServing(entry) && steering.routes === admission.table,
 			onHead(info) {
 				notices.recordHead(entry.instance, info);
 			},
@@ -391,6 +388,6 @@
 	}
 }
 
-function refused(outcome: Extract<Admission, {kind: 'refused'}>['outcome']): Admission {
-	return {kind: 'refused', account: undefined, outcome};
+function objectKeyOf(req: ProxyRequest, {route, allowedRegions}: Admitted): string | undefined {
+	return req.objectKey === undefined ? undefined : scopedObjectKey.of(req.objectKey, allowedRegions, route.allowedRegions);
 }
--- a/src/services/request-log.test.ts
+++ b/src/services/request-log.test.ts
@@ -8,7 +8,9 @@
 	name: 'read', host: 'shop.example', prefix: '/read/', isRepeatable: true, isPublic: false, timeoutMs: 1000,
 	targetMs: 200, priority: 1, targets: [], maxAttempts: 2, hasAffinity: true, allowedRegions: [],
 };
-const admission: Parameters<RequestLog['logEnd']>[0]['admission'] = {kind: 'refused', account: undefined, outcome: {kind: 'invalid', reason: 'no_route'}};
+const admission: Parameters<RequestLog['logEnd']>[0]['admission'] = {
+	kind: 'refused', route: undefined, account: undefined, outcome: {kind: 'invalid', reason: 'no_route'},
+};
 const answer: InstanceResult & {kind: 'whole'} = {
 	kind: 'whole', status: 200, headers: [], framing: 'length', body: new Uint8Array(), info: {
 		requestId: 'r', isSigned: true, isNotRun: false, isMisdirected: false, instanceId: undefined, isLeaving: false, pauseMs: undefined, load: undefined,
--- a/src/services/to-attempt-result.ts
+++ b/src/services/to-attempt-result.ts
@@ -13,6 +13,7 @@
 			return 'rejected';
 		}
 
+		case 'outdated':
 		case 'not_sent': {
 			return 'not_sent';
 		}
--- a/src/services/to-unknown-reason.ts
+++ b/src/services/to-unknown-reason.ts
@@ -15,6 +15,7 @@
 		case 'whole':
 		case 'partial':
 		case 'not_run':
+		case 'outdated':
 		case 'not_sent':
 		case 'lost':
 		case 'overdue': {
