--- a/test/crowds/crowd-host.ts
+++ b/test/crowds/crowd-host.ts
@@ -13,6 +13,11 @@
 import {until} from '../until.js';
 import {SizedInstance} from './sized-instance.js';
 
+type HostOptions = {
+	/** Memory of the host in megabytes, for one that is started as the deploy file says; without it, the heap's limit is in proportion to the usual memory. */
+	readonly memoryMb?: number;
+};
+
 type HostReport = {
 	readonly isRunning: boolean;
 	/** Whether the peak of the resident memory is within the memory of the host. */
@@ -42,18 +47,19 @@
 const samplePauseMs = 50;
 const settlePauseMs = 1000;
 const maxSettleChecks = 10;
+const deployFile = 'deploy/system.toml';
 const {route, nonRepeatable, configuration, instance: instanceEntry} = platformDocuments;
 
 /** A built daemon on a small host, with a store and instances on loopback addresses. */
 export class CrowdHost {
 	/** Builds the daemon and starts it. */
-	static async start(): Promise<CrowdHost> {
+	static async start({memoryMb}: HostOptions = {}): Promise<CrowdHost> {
 		const bundling = await Child.start({script: 'deploy/bundle.js', args: [], shouldAwaitReady: false});
 		if (await bundling.exited !== 0) {
 			throw new Error('building the daemon failed');
 		}
 
-		const host = new CrowdHost();
+		const host = memoryMb === undefined ? new CrowdHost(capacity.memoryMb, [`--max-old-space-size=${maxOldSpaceMb}`]) : new CrowdHost(memoryMb, deployedNodeOptions(memoryMb));
 		await host.#start();
 		return host;
 	}
@@ -70,6 +76,13 @@
 	#peakDescriptors = 0;
 	#sampling: NodeJS.Timeout | undefined;
 	#sentRequests = 0;
+	readonly #memoryMb: number;
+	readonly #nodeOptions: readonly string[];
+
+	private constructor(memoryMb: number, nodeOptions: readonly string[]) {
+		this.#memoryMb = memoryMb;
+		this.#nodeOptions = nodeOptions;
+	}
 
 	/** Returns what a crowd may not change. The ordinary request is sent while the crowd is still connected. */
 	async report(): Promise<HostReport> {
@@ -81,7 +94,7 @@
 		console.log(`peak ${Math.round(this.#peakKilobytes / bytesPerKilobyte)} MB, ${this.#peakDescriptors} descriptors, ${isServing ? 'serving' : 'not serving'}, ${ending}`);
 		return {
 			isRunning,
-			isWithinMemory: this.#peakKilobytes <= capacity.memoryMb * bytesPerKilobyte,
+			isWithinMemory: this.#peakKilobytes <= this.#memoryMb * bytesPerKilobyte,
 			isWithinDescriptors: this.#peakDescriptors <= capacity.maxDescriptors - reservedDescriptors,
 			isServing,
 		};
@@ -109,11 +122,11 @@
 			max_header_bytes: 16_384, max_body_bytes: 67_108_864, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
 		}));
 		const settings = join(this.#folder, 'boot.toml');
-		writeFileSync(settings, steeringSettingsText(this.address, `${storeHost}:${storePort}`, {capacity}));
+		writeFileSync(settings, steeringSettingsText(this.address, `${storeHost}:${storePort}`, {capacity: {...capacity, memoryMb: this.#memoryMb}}));
 		this.#daemon = await Child.start({
 			script: 'target/cowslipspar.mjs',
 			args: [],
-			nodeOptions: [`--max-old-space-size=${maxOldSpaceMb}`],
+			nodeOptions: this.#nodeOptions,
 			env: {[platformNames.settingsVariable]: settings},
 			shouldAwaitReady: false,
 			logFile: this.#logFile,
@@ -176,3 +189,9 @@
 		}
 	}
 }
+
+/** Returns the options of Node.js with which the deploy file starts a daemon on a host. */
+function deployedNodeOptions(memoryMb: number): string[] {
+	const [, words = ''] = /^run = "node (.*)"$/m.exec(readFileSync(deployFile, 'utf8')) ?? [];
+	return words.replaceAll('{{limits.memory_mb}}', String(memoryMb)).split(' ').filter(word => word.startsWith('--'));
+}
