A watcher also spreads what it finds changed when it reads the store again

After a lost or rejected watch, a watcher reads all items. What had changed meanwhile was only announced, so that all hosts of the region pulled it from the two watchers, just when the store or its links had been in trouble and many changes came at once.

Now it spreads them like those of a watch: what its replica has since the version it had before, with the ranges in which removals are not known, as a pull returns them.

--- a/src/services/item-changes-wire.test.ts
+++ b/src/services/item-changes-wire.test.ts
@@ -11,7 +11,7 @@
 	key: `instances/i-${index}`, value: `{"address":"10.9.64.${index}:8660","info":{"service":"accuse","zone":"sousse-c","slots":9},"status":{"state":"draining","sequence":${index}}}`, revision: index,
 });
 const changes: ItemChanges = {
-	sinceRevision: 3, revision: 60, items: Array.from({length: 50}, (_, index) => entryOf(index + 4)), removals: [['instances/i-1', 55, 120]],
+	sinceRevision: 3, revision: 60, items: Array.from({length: 50}, (_, index) => entryOf(index + 4)), removals: [['instances/i-1', 55, 120]], gaps: [[3, 20]],
 };
 
 describe('itemChangesWire', () => {
@@ -34,7 +34,7 @@
 		fc.assert(fc.property(fc.uint8Array({maxLength: 300}), data => {
 			expect(itemChangesWire.decode(data)).toBeUndefined();
 		}), {seed: 46});
-		expect(itemChangesWire.decode(deflateRawSync(encode([1, 2, 'x', []])))).toBeUndefined();
+		expect(itemChangesWire.decode(deflateRawSync(encode([1, 2, 'x', [], []])))).toBeUndefined();
 		expect(itemChangesWire.decode(deflateRawSync(new Uint8Array(20_000_000)))).toBeUndefined();
 	});
 });
--- a/src/services/item-changes-wire.ts
+++ b/src/services/item-changes-wire.ts
@@ -11,20 +11,20 @@
 /** Encodes and decodes changes of the store for datagrams: compressed MessagePack. */
 export const itemChangesWire = {
 	/** Encodes changes; returns `undefined` if they are too large. */
-	encode({sinceRevision, revision, items, removals}: ItemChanges): Uint8Array | undefined {
+	encode({sinceRevision, revision, items, removals, gaps}: ItemChanges): Uint8Array | undefined {
 		const size = items.reduce((total, {key, value}) => total + key.length + value.length, 0);
 		return size > maxEncodedBytes
 			? undefined
-			: deflateRawSync(encode([sinceRevision, revision, items.map(item => [item.key, item.value, item.revision]), removals]), {level: compressionLevel});
+			: deflateRawSync(encode([sinceRevision, revision, items.map(item => [item.key, item.value, item.revision]), removals, gaps]), {level: compressionLevel});
 	},
 
 	/** Decodes changes; returns `undefined` if they are malformed. */
 	decode(data: Uint8Array): ItemChanges | undefined {
 		try {
 			// Keys and the framing of the entries come on top of the values.
-			const [sinceRevision, revision, items, removals] = decode(inflateRawSync(Buffer.from(data), {maxOutputLength: 2 * maxEncodedBytes})) as [unknown, unknown, unknown[][], unknown];
+			const [sinceRevision, revision, items, removals, gaps] = decode(inflateRawSync(Buffer.from(data), {maxOutputLength: 2 * maxEncodedBytes})) as [unknown, unknown, unknown[][], unknown, unknown];
 			const parsed = ItemChanges.safeParse({
-				sinceRevision, revision, items: items.map(([key, value, itemRevision]) => ({key, value, revision: itemRevision})), removals,
+				sinceRevision, revision, items: items.map(([key, value, itemRevision]) => ({key, value, revision: itemRevision})), removals, gaps,
 			});
 			return parsed.success ? parsed.data : undefined;
 		} catch {
--- a/src/services/replica-service.test.ts
+++ b/src/services/replica-service.test.ts
@@ -115,7 +115,7 @@
 	});
 
 	describe('with changes that a watcher spreads', () => {
-		const spread = (sinceRevision: number, version: StoreVersion, items: readonly StoreItem[], removals: Array<[string, number, number]> = []) => {
+		const spread = (sinceRevision: number, version: StoreVersion, items: readonly StoreItem[], removals: Array<[string, number, number]> = [], gaps: Array<[number, number]> = []) => {
 			receivePart({
 				kind: 'changes_part',
 				origin: 'watcher/1',
@@ -124,7 +124,7 @@
 				index: 0,
 				count: 1,
 				data: itemChangesWire.encode({
-					sinceRevision, revision: version.revision, items: [...items], removals,
+					sinceRevision, revision: version.revision, items: [...items], removals, gaps,
 				})!,
 			});
 		};
@@ -146,6 +146,12 @@
 			});
 		});
 
+		it('removes what a watcher no longer found when it read the store again', () => {
+			spread(3, at(6, 1), [itemAt('b', 5)]);
+			spread(3, at(8, 1), [itemAt('c', 7)], [], [[3, 8]]);
+			expect([replica.items.version, keys()]).toEqual([at(8, 1), ['a', 'c']]);
+		});
+
 		// Guards against a replica that counts as complete without a change that was lost on the way.
 		it('pulls what is missing before them', async () => {
 			response = {
--- a/src/services/replica-service.ts
+++ b/src/services/replica-service.ts
@@ -2,16 +2,16 @@
 import {ItemPull} from '../contracts/item-pull.js';
 import {type PrefixStore} from '../contracts/prefix-store.js';
 import {type StoreChange} from '../contracts/store-change.js';
+import {type StoreVersion} from '../contracts/store-version.js';
 import {type RevisionTracker} from '../decisions/revision-tracker.js';
 import {ItemReplica} from '../decisions/item-replica.js';
-import {PartAssembler} from '../decisions/part-assembler.js';
-import {splitIntoParts} from '../decisions/split-into-parts.js';
 import {type StoreOutage} from '../decisions/store-outage.js';
 import {type TransferAdmission} from '../decisions/transfer-admission.js';
 import {compareVersions} from '../decisions/compare-versions.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
+import {ChangeSpreader} from './change-spreader.js';
 import {describeCallError} from './describe-call-error.js';
-import {itemChangesWire} from './item-changes-wire.js';
+import {itemDelta} from './item-delta.js';
 import {type Logger} from './logger.js';
 import {type MembersService} from './members-service.js';
 import {type Metrics} from './metrics.js';
@@ -34,8 +34,6 @@
 
 type RevisionTrackerEffects = ReturnType<RevisionTracker['tick']>;
 type ChangesPart = Parameters<Parameters<MembersService['onChangesPart']>[0]>[0];
-type WatchedChanges = NonNullable<Parameters<ConstructorParameters<typeof StoreReader>[0]['onChanges']>[1]>;
-type Removal = Parameters<ItemReplica['applyDelta']>[0]['removals'][number];
 type ChangeListener = (changes: readonly StoreChange[], source: string) => void;
 
 const tickMs = 100;
@@ -56,7 +54,7 @@
 	readonly #listeners: ChangeListener[] = [];
 	readonly #eraListeners: Array<(era: number, retainUntilMs: number) => Promise<void> | void> = [];
 	readonly #reader: StoreReader;
-	readonly #parts = new PartAssembler();
+	readonly #spreader: ChangeSpreader;
 	#members: MembersService | undefined;
 	#watch: AbortController | undefined;
 	/** Newest era that the store stated to this host, or a peer with items of it. */
@@ -67,6 +65,7 @@
 
 	constructor(options: ReplicaOptions) {
 		this.#options = options;
+		this.#spreader = new ChangeSpreader({...options, items: this.items});
 		this.#reader = new StoreReader({
 			...options,
 			items: this.items,
@@ -76,8 +75,8 @@
 			onRead(isAnswered) {
 				options.revisionTracker.recordRead(isAnswered);
 			},
-			onChanges: (changes, watched) => {
-				this.#propagateChanges(changes, 'store', watched === undefined || !this.#spread(watched) ? undefined : 'spread');
+			onChanges: (changes, since) => {
+				this.#propagateChanges(changes, 'store', this.#spread(since) ? 'spread' : 'announced');
 			},
 			onFullRead(era) {
 				options.revisionTracker.recordFullRead(era);
@@ -143,21 +142,17 @@
 
 	/** Returns the changes after a version, for a peer that has all changes up to it; all items if there are gaps and the peer does not know them. */
 	changesSince(have: {readonly revision: number; readonly era: number | undefined}, acceptsGaps: boolean): ItemPull {
-		const nowMs = this.#options.clock.nowMs();
 		const {era} = this.items.version;
 		// A peer of the release before does not know the era of its revision. Once the era has changed here, it may be the one before.
 		const isUnordered = have.era === undefined && this.#hasChangedEra;
 		const delta = this.items.deltaSince({era: have.era ?? era, revision: isUnordered ? 0 : have.revision});
-		const {sinceRevision, version: {revision}, items, removals, gaps} = delta.gaps.length > 0 && !acceptsGaps ? this.items.deltaSince({era, revision: 0}) : delta;
+		const changes = itemDelta.toChanges(delta.gaps.length > 0 && !acceptsGaps ? this.items.deltaSince({era, revision: 0}) : delta, this.#options.clock.nowMs());
 		return {
+			...changes,
 			era,
-			revision,
-			isWhole: sinceRevision === 0,
-			sinceRevision,
+			isWhole: changes.sinceRevision === 0,
 			// Such a peer ignores a value unless its revision is higher than that of the value it has.
-			items: isUnordered ? items.map(item => ({...item, revision})) : [...items],
-			removals: removals.map(removal => [removal.key, removal.revision, Math.max(0, removal.retainUntilMs - nowMs)]),
-			gaps: gaps.map(({afterRevision, upToRevision}) => [afterRevision, upToRevision]),
+			items: isUnordered ? changes.items.map(item => ({...item, revision: changes.revision})) : changes.items,
 		};
 	}
 
@@ -281,8 +276,7 @@
 				...pull,
 				version: {era, revision: pull.revision},
 				sinceRevision,
-				removals: toRemovals(pull.removals, nowMs),
-				gaps: gaps.map(([afterRevision, upToRevision]) => ({afterRevision, upToRevision})),
+				...itemDelta.fromChanges({removals: pull.removals, gaps}, nowMs),
 			}, outage.eraRetainUntilMs(nowMs));
 			const tookMs = nowMs - startMs;
 			metrics.observe('replica_pull_seconds', {scope: isWhole ? 'all' : 'changes'}, tookMs);
@@ -325,63 +319,28 @@
 		}
 	}
 
-	/** Spreads what a watch returned in the region; returns whether it did. What is too large is pulled instead. */
-	#spread({sinceRevision, version, changes}: WatchedChanges): boolean {
-		const {metrics, clock} = this.#options;
-		if (this.#members === undefined || version.revision <= sinceRevision) {
+	/** Spreads the changes since a version in the region if this host watches the store; returns whether it did. */
+	#spread(since: StoreVersion): boolean {
+		const parts = this.#options.revisionTracker.isWatching ? this.#spreader.encodeSince(since) : undefined;
+		if (this.#members === undefined || parts === undefined) {
 			return false;
 		}
 
-		const nowMs = clock.nowMs();
-		const encoded = itemChangesWire.encode({
-			sinceRevision,
-			revision: version.revision,
-			items: changes.flatMap(change => (change.kind === 'written' ? [change.item] : [])),
-			removals: changes.flatMap(change => (change.kind === 'removed' ? [[change.key, change.revision, Math.max(0, change.retainUntilMs - nowMs)] as [string, number, number]] : [])),
-		});
-		const parts = encoded === undefined ? undefined : splitIntoParts(encoded);
-		metrics.count('replica_spreads', {result: parts === undefined ? 'too_large' : 'sent'});
-		if (parts === undefined) {
-			return false;
-		}
-
-		this.#members.run(this.#members.membership.spreadChanges(version, parts));
+		this.#members.run(this.#members.membership.spreadChanges(this.items.version, parts));
 		return true;
 	}
 
-	/** Applies changes that a watcher spreads once all their parts have arrived. If earlier ones are missing here, they are pulled. */
-	#receivePart({origin, address, version, index, count, data}: ChangesPart): void {
-		const {metrics, clock, revisionTracker} = this.#options;
-		if (this.items.revision === 0 || version.era !== this.items.version.era || compareVersions(version, this.items.version) <= 0) {
+	/** Applies changes that a watcher spreads. If earlier ones are missing here, they are pulled. */
+	#receivePart(part: ChangesPart): void {
+		const {clock, revisionTracker} = this.#options;
+		const applied = this.#spreader.receive(part);
+		if (applied === undefined) {
 			return;
 		}
 
-		const encoded = this.#parts.add({
-			origin, version, index, count, data,
-		});
-		if (encoded === undefined) {
-			return;
-		}
-
-		const spread = itemChangesWire.decode(encoded);
-		if (spread === undefined) {
-			metrics.count('replica_spreads_received', {result: 'invalid'});
-			return;
-		}
-
-		const nowMs = clock.nowMs();
-		const isComplete = spread.sinceRevision <= this.items.revision;
-		metrics.count('replica_spreads_received', {result: isComplete ? 'complete' : 'incomplete'});
-		const changes = this.items.applyDelta({
-			sinceRevision: spread.sinceRevision,
-			version,
-			items: spread.items,
-			removals: toRemovals(spread.removals, nowMs),
-			gaps: [],
-		}, nowMs);
-		this.#propagateChanges(changes, address, 'spread');
-		if (!isComplete) {
-			this.#runEffects(revisionTracker.recordVersion(version, address, nowMs));
+		this.#propagateChanges(applied.changes, part.address, 'spread');
+		if (!applied.isComplete) {
+			this.#runEffects(revisionTracker.recordVersion(part.version, part.address, clock.nowMs()));
 		}
 	}
 
@@ -457,9 +416,3 @@
 		}
 	}
 }
-
-function toRemovals(removals: ReadonlyArray<readonly [string, number, number]>, nowMs: number): Removal[] {
-	return removals.map(([key, revision, retainMs]) => ({
-		kind: 'removed', key, revision, retainUntilMs: nowMs + retainMs,
-	}));
-}
--- a/src/services/store-reader.ts
+++ b/src/services/store-reader.ts
@@ -18,17 +18,14 @@
 	readonly metrics: Metrics;
 	/** Called with the era that each response states, before anything in the response is used. */
 	readonly onEra: (era: number) => void;
-	/** Called with the changes that a response made, also if there are none; `watched` is what a watch returned. */
-	readonly onChanges: (changes: readonly StoreChange[], watched?: WatchedChanges) => void;
+	/** Called with the changes that a response made, also if there are none, and the version on which what it contains follows. */
+	readonly onChanges: (changes: readonly StoreChange[], since: StoreVersion) => void;
 	/** Called after each full read and each watch: whether the store answered it. */
 	readonly onRead: (isAnswered: boolean) => void;
 	/** Called after a full read of all items, with their era. */
 	readonly onFullRead: (era: number) => void;
 };
 
-/** All changes of the store after a revision of the same era, up to `version`. */
-type WatchedChanges = {readonly sinceRevision: number; readonly version: StoreVersion; readonly changes: readonly StoreChange[]};
-
 /** Maximum duration of one watch; it also bounds a watch on a connection that no longer delivers data. */
 const watchWaitMs = 3000;
 /** Pause after a watch that returned changes, so that consecutive changes are fetched with one call. */
@@ -114,12 +111,13 @@
 			return undefined;
 		}
 
+		const since = items.version;
 		const changes = items.applyFullRead(read.data.items, {era, revision}, this.#retainUntilMs());
 		logger.info('all items read from the store', {
 			era, revision, items: read.data.items.length, changes: changes.length, tookMs: Math.round(clock.nowMs() - startMs),
 		});
 		onFullRead(era);
-		onChanges(changes);
+		onChanges(changes, since);
 		return {era, revision};
 	}
 
@@ -154,9 +152,7 @@
 		}
 
 		const retainUntilMs = this.#retainUntilMs();
-		const version = {era, revision};
-		const retained = changes.map((change): StoreChange => (change.kind === 'removed' ? {...change, retainUntilMs} : change));
-		onChanges(items.applyChanges(retained, version), {sinceRevision: after.revision, version, changes: retained});
+		onChanges(items.applyChanges(changes.map((change): StoreChange => (change.kind === 'removed' ? {...change, retainUntilMs} : change)), {era, revision}), after);
 		return items.version.era > era ? items.version : {era, revision};
 	}
 
