A process near the memory of its host collects its garbage by itself

The engine decides when to collect by the limit of its heap, which is the same on each host and may be larger than what the host's memory leaves, and hardly counts buffers outside the heap.

From 85% of the host's memory on, the guard of clients collects, at most every 2 s, with pauses up to 32 s while that frees little, and logs it. Below that nothing changes: the check uses the resident memory that is read anyway.

--- a/src/services/uploads/client-guard.ts
+++ b/src/services/uploads/client-guard.ts
@@ -5,7 +5,9 @@
 import process from 'node:process';
 import {type Clock} from '../../contracts/clock.js';
 import {type ClientBudget} from '../../decisions/client-budget.js';
+import {type CollectionPolicy} from '../../decisions/collection-policy.js';
 import {type Lifecycle} from '../../kernel/lifecycle.js';
+import {collectGarbage} from '../collect-garbage.js';
 import {type Logger} from '../logger.js';
 import {type Metrics} from '../metrics.js';
 import {ClientConnection} from './client-connection.js';
@@ -16,6 +18,7 @@
 	readonly logger: Pick<Logger, 'limited'>;
 	readonly metrics: Pick<Metrics, 'count' | 'gauge'>;
 	readonly budget: ClientBudget<ClientConnection>;
+	readonly collection: CollectionPolicy;
 	/** Returns the id of a request, for the log. */
 	readonly requestIdOf: (headers: IncomingHttpHeaders) => string | undefined;
 	/** Number of requests of one connection without a complete response from which no more are read. */
@@ -34,6 +37,7 @@
 const requestObjectBytes = 6144;
 /** Bytes that a request's head needs in memory for each byte as sent, since it is kept as text in two forms. */
 const headMemoryFactor = 2;
+const bytesPerMb = 1_048_576;
 
 /** Keeps what clients make this host hold within a budget, at all ports for clients. */
 export class ClientGuard {
@@ -53,7 +57,7 @@
 		metrics.gauge('client_connections', () => budget.connections);
 		metrics.gauge('client_held_bytes', () => budget.heldBytes);
 		lifecycle.every('clients', checkMs, () => {
-			budget.adaptTo(process.memoryUsage.rss());
+			budget.adaptTo(this.#limitMemory());
 			this.#closeOverflow();
 			this.#closeIdleBodies();
 			this.#wakeUp();
@@ -235,6 +239,26 @@
 		}
 	}
 
+	/** Collects garbage if the process is near the memory of its host; returns the resident memory in bytes. */
+	#limitMemory(): number {
+		const {collection, clock, metrics, logger} = this.#options;
+		const usedBytes = process.memoryUsage.rss();
+		const startMs = clock.nowMs();
+		if (!collection.isDue(usedBytes, startMs)) {
+			return usedBytes;
+		}
+
+		collectGarbage();
+		const nowMs = clock.nowMs();
+		const leftBytes = process.memoryUsage.rss();
+		collection.recordCollection(usedBytes - leftBytes, nowMs);
+		metrics.count('garbage_collections');
+		logger.limited('garbage was collected because this process is near the memory of its host', {
+			residentMb: Math.round(usedBytes / bytesPerMb), freedMb: Math.round((usedBytes - leftBytes) / bytesPerMb), tookMs: Math.round(nowMs - startMs),
+		}, 'warn');
+		return leftBytes;
+	}
+
 	#closeIdleBodies(): void {
 		const oldestMs = this.#options.clock.nowMs() - this.#idleBodyMs;
 		for (const conn of this.#connections) {
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -13,6 +13,7 @@
 import {ByteBudget} from './decisions/byte-budget.js';
 import {ClientBudget} from './decisions/client-budget.js';
 import {clientLimits} from './decisions/client-limits.js';
+import {CollectionPolicy} from './decisions/collection-policy.js';
 import {coldShare} from './decisions/cold-share.js';
 import {ColdRateLimiter} from './decisions/cold-rate-limiter.js';
 import {RevisionTracker} from './decisions/revision-tracker.js';
@@ -219,6 +220,7 @@
 					logger: get('logger'),
 					metrics: get('metrics'),
 					budget: new ClientBudget(limits),
+					collection: new CollectionPolicy(limits),
 					requestIdOf: headers => platform.dialect.readRequest(headers).requestId,
 					maxRequestsAhead,
 					memoryWaitMs,
