Changes are spread to members that are considered alive only

A configuration with accounts contains clients' keys. A suspected member may be gone, and its address another's, so that a datagram with the configuration could reach a process that is no host. Suspects hear of the version with the next probe and pull.

--- a/src/decisions/member-table.ts
+++ b/src/decisions/member-table.ts
@@ -78,14 +78,6 @@
 		return this.#cached.aliveOthers;
 	}
 
-	/** Returns the members that are suspected to have failed. */
-	suspects(): Member[] {
-		return [...this.#suspectsAndDead].flatMap(key => {
-			const entry = this.#entries.get(key);
-			return entry?.status === 'suspect' ? [entry.member] : [];
-		});
-	}
-
 	/** Returns the members considered alive, including this one, in the same order at every member. */
 	alive(): readonly Member[] {
 		this.#cached.alive ??= [this.#self.member, ...this.aliveOthers()].toSorted((a, b) => (memberKey(a) < memberKey(b) ? -1 : 1));
--- a/src/decisions/membership.ts
+++ b/src/decisions/membership.ts
@@ -50,8 +50,6 @@
 const regionFanOutMembers = 200;
 /** Bytes that a watcher sends at once to spread changes: a tenth of a second of a link of 10 Mbit/s. */
 const maxDirectBytes = 125_000;
-/** Largest number of suspected members to which a watcher sends changes; after the loss of a zone, there are many that do not run. */
-const maxSuspectsInformed = 16;
 /** Number of members of a region that exchange summaries with other regions. */
 const delegatesPerRegion = 2;
 /** Time for which the entry of a dead member is kept. */
@@ -224,9 +222,7 @@
 		const others = this.#table.aliveOthers();
 		const bytes = parts.reduce((total, {byteLength}) => total + byteLength, 0);
 		const isRelayed = others.length * bytes > maxDirectBytes;
-		const direct = isRelayed ? contactTargets(this.#selfKey, this.#selfKey, this.alive()).direct : others;
-		// A busy host is easily suspected, and serves its clients nevertheless.
-		const members = [...direct, ...this.#table.suspects().slice(0, maxSuspectsInformed)];
+		const members = isRelayed ? contactTargets(this.#selfKey, this.#selfKey, this.alive()).direct : others;
 		return parts.flatMap((partData, partIndex) => this.#sendContact(members, this.#selfKey, version, {
 			isRelayed, partIndex, partCount: parts.length, partData,
 		}));
