Each spread of changes repeats those of the one before

Two watchers spread what they see in batches of their own. A host that lost a datagram of one could not apply the next one of either, since it did not follow on what the host had, and was back to a pull, which takes a busy host about two seconds.

Now a watcher repeats the changes of its spread before, if there is room in the parts. Changes that come alone are sent once, and cost what they did; in a row they take about twice the bytes before compression, where most of what is repeated shrinks.

The model's watchers now continue their own watches, as the service's do.

--- a/src/decisions/revision-tracker.test.ts
+++ b/src/decisions/revision-tracker.test.ts
@@ -111,7 +111,20 @@
 		it.each([
 			{hosts: 12, turnMs: 400}, {hosts: 39, turnMs: 400}, {hosts: 100, turnMs: 400}, {hosts: 100, turnMs: 200}, {hosts: 39, turnMs: 600},
 		])('brings each of many changes in a row to all $hosts hosts within the drain time, with turns of $turnMs ms', ({hosts, turnMs}) => {
-			const model = new StoreWatchModel({hosts, seed: 7, turnMs});
+			expect(slowestChangeMs({hosts, seed: 7, turnMs})).toBeLessThanOrEqual(drainMs);
+		});
+
+		it.each([
+			{hosts: 39, turnMs: 400}, {hosts: 100, turnMs: 400},
+		])('brings them to all $hosts hosts within the drain time also if one datagram in twenty is lost', ({hosts, turnMs}) => {
+			expect(slowestChangeMs({
+				hosts, seed: 7, turnMs, loss: 0.05,
+			})).toBeLessThanOrEqual(drainMs);
+		});
+
+		/** Returns the longest time until all hosts have one of the changes that follow one another at short intervals, in milliseconds. */
+		function slowestChangeMs(options: ConstructorParameters<typeof StoreWatchModel>[0]): number {
+			const model = new StoreWatchModel(options);
 			model.run(settleMs);
 			const changes: Array<{readonly revision: number; readonly atMs: number}> = [];
 			let slowestMs = 0;
@@ -127,8 +140,8 @@
 				slowestMs = Math.max(slowestMs, firstMissing === undefined ? 0 : model.network.nowMs - firstMissing.atMs);
 			}
 
-			expect(slowestMs).toBeLessThanOrEqual(drainMs);
-		});
+			return slowestMs;
+		}
 	});
 
 	it('keeps the hosts of a large region in contact, which relay it, with a tenth of the datagrams lost', () => {
--- a/src/services/change-spreader.ts
+++ b/src/services/change-spreader.ts
@@ -29,21 +29,27 @@
 export class ChangeSpreader {
 	readonly #options: SpreaderOptions;
 	readonly #parts = new PartAssembler();
+	/** Version since which the latest spread contained the changes, and the one up to which it did. */
+	#latest: {readonly since: StoreVersion; readonly version: StoreVersion} | undefined;
 
 	constructor(options: SpreaderOptions) {
 		this.#options = options;
 	}
 
-	/** Returns the parts of the changes since a version, one for each datagram; `undefined` if there are none, or they are too large. */
+	/**
+	 * Returns the parts of the changes since a version, one for each datagram; `undefined` if there are none, or they are too large. The changes of
+	 * the spread before are repeated if there is room, so that a lost datagram is made up for by the next one.
+	 */
 	encodeSince(since: StoreVersion): Uint8Array[] | undefined {
-		const {items, clock, metrics} = this.#options;
+		const {items, metrics} = this.#options;
 		const {version} = items;
 		if (since.revision === 0 || since.era !== version.era || version.revision <= since.revision) {
 			return undefined;
 		}
 
-		const encoded = itemChangesWire.encode(itemDelta.toChanges(items.deltaSince(since), clock.nowMs()));
-		const parts = encoded === undefined ? undefined : splitIntoParts(encoded);
+		const isNext = this.#latest !== undefined && this.#latest.version.era === since.era && this.#latest.version.revision >= since.revision;
+		const parts = (isNext ? this.#encode(this.#latest!.since) : undefined) ?? this.#encode(since);
+		this.#latest = {since, version};
 		metrics.count('replica_spreads', {result: parts === undefined ? 'too_large' : 'sent'});
 		return parts;
 	}
@@ -76,4 +82,10 @@
 		}, outage.eraRetainUntilMs(nowMs));
 		return {changes, isComplete};
 	}
+
+	#encode(since: StoreVersion): Uint8Array[] | undefined {
+		const {items, clock} = this.#options;
+		const encoded = itemChangesWire.encode(itemDelta.toChanges(items.deltaSince(since), clock.nowMs()));
+		return encoded === undefined ? undefined : splitIntoParts(encoded);
+	}
 }
--- a/src/services/replica-spread.test.ts
+++ b/src/services/replica-spread.test.ts
@@ -91,6 +91,16 @@
 		expect(announced).toEqual([]);
 	});
 
+	it('repeats the changes of the spread before, so that a lost datagram is made up for by the next one', async () => {
+		const first = answerWatch;
+		first({success: true, data: {changes: [{kind: 'written', item: itemAt('b', 5)}], revision: 5, era: 1}});
+		await expect.poll(() => answerWatch !== first).toBe(true);
+		answerWatch({success: true, data: {changes: [{kind: 'written', item: itemAt('c', 7)}], revision: 7, era: 1}});
+		await expect.poll(() => spread[1]).toEqual({
+			sinceRevision: 3, revision: 7, items: [itemAt('b', 5), itemAt('c', 7)], removals: [], gaps: [],
+		});
+	});
+
 	it('spreads what it finds changed when it reads the store again after a lost watch', async () => {
 		[listed, listedRevision] = [[itemAt('c', 8)], 9];
 		answerWatch({success: false, error: {code: 'lost_answer', message: ''}});
--- a/test/store-watch-model.ts
+++ b/test/store-watch-model.ts
@@ -17,6 +17,8 @@
 	isLegacy: boolean;
 	/** Number of probes of the store that the host made. */
 	probes: number;
+	/** Revision since which the host's latest spread contained new changes, and the one up to which it did, with their era. */
+	spread: {readonly era: number; readonly since: number; readonly upTo: number} | undefined;
 	/** Time until which the host is busy with the pulls of others. */
 	servingUntilMs: number;
 	/** Time at which the host first watched the store without being designated. */
@@ -65,7 +67,7 @@
 		});
 		this.hosts = this.network.nodes.map((_, index) => ({
 			tracker: new RevisionTracker(new SeededRandom(seed + index), 0, {pullDelayMs}),
-			isWatching: false, isCut: false, isRejected: false, isLegacy: false, probes: 0, servingUntilMs: 0, substituteSinceMs: undefined,
+			isWatching: false, isCut: false, isRejected: false, isLegacy: false, probes: 0, spread: undefined, servingUntilMs: 0, substituteSinceMs: undefined,
 		}));
 	}
 
@@ -123,12 +125,17 @@
 		}
 	}
 
-	/** Spreads the changes that follow on the host's version; the model encodes only the revision on which they follow. */
+	/** Spreads the changes that follow on the host's version, and those of the spread before; the model encodes only the revision on which they follow. */
 	#spread(index: number): void {
-		const {tracker, isLegacy} = this.hosts[index]!;
+		const host = this.hosts[index]!;
+		const {tracker, isLegacy} = host;
 		const {era, revision} = tracker.version;
-		if (!isLegacy && revision > 0 && era === this.era && revision < this.revision) {
-			this.network.act(index, membership => membership.spreadChanges(this.version, [new Uint8Array(new Float64Array([revision]).buffer)]));
+		const latest = host.spread?.era === this.era ? host.spread : undefined;
+		const watchedRevision = latest?.upTo ?? revision;
+		if (!isLegacy && revision > 0 && era === this.era && watchedRevision < this.revision) {
+			const since = latest?.since ?? revision;
+			host.spread = {era, since: watchedRevision, upTo: this.revision};
+			this.network.act(index, membership => membership.spreadChanges(this.version, [new Uint8Array(new Float64Array([since]).buffer)]));
 			this.#adopt(index, this.version, true);
 		}
 	}
