--- a/src/services/pause.ts
+++ b/src/services/pause.ts
@@ -1,10 +1,13 @@
 /** Resolves after `ms` milliseconds, or earlier when the signal is aborted. */
 export async function pause(ms: number, signal?: AbortSignal): Promise<void> {
 	return new Promise(resolve => {
-		const timer = setTimeout(resolve, ms);
-		signal?.addEventListener('abort', () => {
+		const end = () => {
 			clearTimeout(timer);
+			signal?.removeEventListener('abort', end);
 			resolve();
-		}, {once: true});
+		};
+
+		const timer = setTimeout(end, ms);
+		signal?.addEventListener('abort', end);
 	});
 }
