Logs and metrics tell by which configuration requests are sent, and how old it may be

Lines about requests have the version by which they were sent; for requests with homes also the allowed regions, the region of the instance and the time since which nothing had confirmed that the host has the store's latest changes. The last one is new: a host counts the contacts that watchers report once it has the watcher's version, and its own full reads and answered probes while it watches. Gauge store_unconfirmed_seconds, histogram homed_send_unconfirmed_seconds.

No call, byte or timer more; the fields cost a few characters of lines that are written anyway.

--- a/src/decisions/revision-tracker.ts
+++ b/src/decisions/revision-tracker.ts
@@ -1,5 +1,6 @@
 import {type StoreVersion} from '../contracts/store-version.js';
 import {compareVersions} from './compare-versions.js';
+import {ConfirmedContacts} from './confirmed-contacts.js';
 import {EraTracker} from './era-tracker.js';
 import {type SeededRandom} from './seeded-random.js';
 
@@ -66,6 +67,7 @@
 	readonly #startMs: number;
 	readonly #timing: Timing;
 	readonly #eras = new EraTracker();
+	readonly #confirmed = new ConfirmedContacts();
 	#version: StoreVersion = {era: 0, revision: 0};
 	#newestReported: {version: StoreVersion; sources: string[]} = {version: {era: 0, revision: 0}, sources: []};
 	#behindSinceMs: number | undefined;
@@ -81,6 +83,8 @@
 	#contactMs: number;
 	/** Latest reported contact, with the version that the watcher had. */
 	#reportedContact: {readonly version: StoreVersion; readonly atMs: number} | undefined;
+	/** Time at which the present watch began. */
+	#watchSinceMs = Number.POSITIVE_INFINITY;
 	#lastProbeMs = Number.NEGATIVE_INFINITY;
 	#lastStoreReadMs = Number.NEGATIVE_INFINITY;
 	#lastUnorderedPullMs = Number.NEGATIVE_INFINITY;
@@ -107,6 +111,14 @@
 		return this.#behindSinceMs;
 	}
 
+	/**
+	 * Returns the time since which nothing has confirmed that this host has the store's latest changes, in milliseconds; infinite before the
+	 * first confirmation. A change reaches a watcher, and a contact this host, within a part of a second.
+	 */
+	unconfirmedMs(nowMs: number): number {
+		return this.#confirmed.unconfirmedMs(nowMs);
+	}
+
 	/** Whether this host has heard of an era of the store whose items it does not have. */
 	get isBehindEra(): boolean {
 		return this.#eras.isBehind;
@@ -162,6 +174,7 @@
 
 		this.#eras.enter(version.era);
 		this.#countReportedContact();
+		this.#confirmed.count(version);
 		return true;
 	}
 
@@ -171,9 +184,10 @@
 		return this.#readIfBehind(nowMs);
 	}
 
-	/** Records that the store stated an era in a full read, which no other statement outranks. */
-	recordFullRead(era: number): void {
+	/** Records that the store stated an era in a full read, which no other statement outranks. `startMs` is the time at which the read began. */
+	recordFullRead(era: number, startMs = Number.NEGATIVE_INFINITY): void {
 		this.#eras.confirm(era);
+		this.#confirmed.confirm(startMs);
 	}
 
 	/** Records that the store answered a probe of this host, and the era that it stated. Of an older era, the answer is late and says nothing. */
@@ -182,7 +196,7 @@
 			return [];
 		}
 
-		const effects = this.#isStale(nowMs) && !this.#isDesignated() ? this.#setSubstitute(true) : [];
+		const effects = this.#isStale(nowMs) && !this.#isDesignated() ? this.#setSubstitute(true, nowMs) : [];
 		if (era > this.#version.era) {
 			// The watch that begins now, or is restarted, reads all items first. Until then this host lacks changes and reports no contact.
 			const reads = this.recordStoreEra(era, nowMs);
@@ -194,6 +208,10 @@
 		}
 
 		this.#contactMs = nowMs;
+		if (this.#isWatching && this.#lastProbeMs >= this.#watchSinceMs) {
+			this.#confirmed.confirm(nowMs);
+		}
+
 		return this.#isWatching ? [...effects, {kind: 'report_contact'}] : effects;
 	}
 
@@ -213,8 +231,9 @@
 
 		this.#eras.hear(version.era, nowMs);
 		this.#reportedContact = {version, atMs: nowMs};
+		this.#confirmed.add(version, nowMs, this.#version);
 		this.#countReportedContact();
-		return rank < this.#rank ? this.#setSubstitute(false) : [];
+		return rank < this.#rank ? this.#setSubstitute(false, nowMs) : [];
 	}
 
 	/** Records that a part of the response to a pull arrived. */
@@ -237,7 +256,7 @@
 	/** Advances time. `rank` is the host's position in its region's order of delegates, starting at 0. */
 	tick(nowMs: number, rank: number): Effect[] {
 		this.#rank = rank;
-		const effects: Effect[] = this.#setSubstitute(this.#isSubstitute && !this.#isDesignated());
+		const effects: Effect[] = this.#setSubstitute(this.#isSubstitute && !this.#isDesignated(), nowMs);
 		const isProbing = this.#isWatching || this.#isStale(nowMs);
 		const probeIntervalMs = this.#timing.probeIntervalMs * (this.#isWatching ? 1 : staleProbeFactor);
 		if (isProbing && nowMs - this.#lastProbeMs >= probeIntervalMs) {
@@ -288,7 +307,7 @@
 		}
 	}
 
-	#setSubstitute(isSubstitute: boolean): Effect[] {
+	#setSubstitute(isSubstitute: boolean, nowMs: number): Effect[] {
 		this.#isSubstitute = isSubstitute;
 		const isWatching = isSubstitute || this.#isDesignated();
 		if (isWatching === this.#isWatching) {
@@ -297,6 +316,7 @@
 
 		this.#isWatching = isWatching;
 		this.#isReadFailing = false;
+		this.#watchSinceMs = isWatching ? nowMs : Number.POSITIVE_INFINITY;
 		return [{kind: 'watch', isWatching}];
 	}
 
--- a/src/services/proxy-outcome.ts
+++ b/src/services/proxy-outcome.ts
@@ -1,4 +1,5 @@
 import {type InstanceResult} from '../contracts/instance-result.js';
+import {type SendDecision} from './send-decision.js';
 
 /** Inputs that determined a refusal, by name, for the log. They contain no keys. */
 type RefusalFigures = Readonly<Record<string, string | number>>;
@@ -10,6 +11,7 @@
 		readonly kind: 'answer';
 		readonly result: Extract<InstanceResult, {kind: 'whole' | 'partial'}>;
 		readonly instanceId: string;
+		readonly decision: SendDecision;
 		/** Wait for a slot that was expected when the request was sent. */
 		readonly expectedWaitMs: number;
 		/** Run time that was expected when the request was sent. */
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -16,6 +16,7 @@
 import {type ProxyOutcome} from './proxy-outcome.js';
 import {type ProxyRequest} from './proxy-request.js';
 import {type QuarantineService} from './quarantine-service.js';
+import {type SendDecision} from './send-decision.js';
 import {type QuotaService} from './quotas/quota-service.js';
 import {RequestQuota} from './quotas/request-quota.js';
 import {readIdentifiedBody} from './read-identified-body.js';
@@ -30,7 +31,7 @@
 	readonly clock: Clock;
 	readonly logger: Pick<Logger, 'limited'>;
 	readonly metrics: Pick<Metrics, 'count' | 'observe'>;
-	readonly steering: Pick<SteeringService, 'routes' | 'match' | 'nextServiceOf'>;
+	readonly steering: Pick<SteeringService, 'routes' | 'match' | 'nextServiceOf' | 'unconfirmedMs'>;
 	readonly placement: Placement;
 	readonly client: Pick<InstanceClient, 'send'>;
 	readonly retries: RetryShare;
@@ -258,7 +259,8 @@
 				logger.limited('a request is sent to a cold instance', {request: req.requestId, instance: choice.entry.instance.id});
 			}
 
-			lastResult = await this.#send(context, choice.entry, choice.waitMs);
+			const decision = this.#decisionOf(context, choice.entry);
+			lastResult = await this.#send(context, choice.entry, choice.waitMs, decision);
 			if (lastResult.kind === 'outdated') {
 				metrics.count('outdated_choices', {service});
 				triedInstanceIds.delete(choice.entry.instance.id);
@@ -267,7 +269,13 @@
 			if (lastResult.kind === 'whole' || lastResult.kind === 'partial') {
 				attempts.recordResult('answered');
 				return {
-					kind: 'answer', result: lastResult, instanceId: choice.entry.instance.id, expectedWaitMs: choice.waitMs, expectedRunMs: choice.runMs, failedSends: triedInstanceIds.size - 1,
+					kind: 'answer',
+					result: lastResult,
+					instanceId: choice.entry.instance.id,
+					decision,
+					expectedWaitMs: choice.waitMs,
+					expectedRunMs: choice.runMs,
+					failedSends: triedInstanceIds.size - 1,
 				};
 			}
 
@@ -316,7 +324,19 @@
 		}, nowMs);
 	}
 
-	async #send(context: RequestContext, entry: InstanceEntry, expectedWaitMs: number): Promise<InstanceResult> {
+	#decisionOf({admission}: RequestContext, {region}: InstanceEntry): SendDecision {
+		const {metrics, steering} = this.#options;
+		const {table, allowedRegions} = admission;
+		if (allowedRegions.length > 0) {
+			metrics.observe('homed_send_unconfirmed_seconds', {}, steering.unconfirmedMs);
+		}
+
+		return {
+			configuration: table.version, allowedRegions, region, unconfirmedMs: steering.unconfirmedMs,
+		};
+	}
+
+	async #send(context: RequestContext, entry: InstanceEntry, expectedWaitMs: number, decision: SendDecision): Promise<InstanceResult> {
 		const {clock, client, observer, notices, placement, steering} = this.#options;
 		const {req, admission, body, service, objectKey, deadlineMs} = context;
 		const {id, address} = entry.instance;
@@ -347,7 +367,7 @@
 		await this.#updateCrashReports(context, id, result);
 		if (result.kind !== 'whole' && result.kind !== 'partial') {
 			this.#requestLog.logFailedSend({
-				requestId: req.requestId, instance: entry.instance, isRetry: context.attempts.isRetry, remainingMs, result, tookMs,
+				requestId: req.requestId, instance: entry.instance, decision, isRetry: context.attempts.isRetry, remainingMs, result, tookMs,
 			});
 		}
 
--- a/src/services/replica-service.ts
+++ b/src/services/replica-service.ts
@@ -78,8 +78,8 @@
 			onChanges: (changes, since) => {
 				this.#propagateChanges(changes, 'store', this.#spread(since) ? 'spread' : 'announced');
 			},
-			onFullRead(era) {
-				options.revisionTracker.recordFullRead(era);
+			onFullRead(era, startMs) {
+				options.revisionTracker.recordFullRead(era, startMs);
 			},
 		});
 	}
@@ -89,6 +89,11 @@
 		return this.#options.outage.isUnavailable;
 	}
 
+	/** Time since which nothing has confirmed that this host has the store's latest changes, in milliseconds. */
+	get unconfirmedMs(): number {
+		return this.#options.revisionTracker.unconfirmedMs(this.#options.clock.nowMs());
+	}
+
 	/** Registers a listener that is called with each set of changes. */
 	onChange(listener: ChangeListener): void {
 		this.#listeners.push(listener);
@@ -134,6 +139,7 @@
 			this.#receivePart(part);
 		});
 		this.#options.metrics.gauge('store_era', () => this.items.version.era);
+		this.#options.metrics.gauge('store_unconfirmed_seconds', () => this.unconfirmedMs / 1000);
 		this.#options.metrics.gauge('store_watching', () => Number(revisionTracker.isWatching));
 		lifecycle.every('replica tick', tickMs, () => {
 			this.#runEffects(revisionTracker.tick(clock.nowMs(), members.membership.delegateRank()));
--- a/src/services/request-log.test.ts
+++ b/src/services/request-log.test.ts
@@ -3,6 +3,7 @@
 import {type InstanceResult} from '../contracts/instance-result.js';
 import {type Route} from '../contracts/route.js';
 import {RequestLog} from './request-log.js';
+import {type SendDecision} from './send-decision.js';
 
 const route: Route = {
 	name: 'read', host: 'shop.example', prefix: '/read/', isRepeatable: true, isPublic: false, timeoutMs: 1000,
@@ -17,6 +18,10 @@
 	},
 };
 
+const unrestricted: SendDecision = {
+	configuration: 7, allowedRegions: [], region: 'a', unconfirmedMs: 0,
+};
+
 function setUp() {
 	const lines: string[] = [];
 	const logger = {
@@ -27,10 +32,10 @@
 		},
 	};
 	const log = new RequestLog(logger);
-	const logAnswer = (requestId: string, failedSends: number, tookMs = 20) => {
+	const logAnswer = (requestId: string, failedSends: number, tookMs = 20, decision = unrestricted) => {
 		log.logEnd({
 			requestId, route, admission, tookMs, outcome: {
-				kind: 'answer', result: answer, instanceId: 'i-2', expectedWaitMs: 0, expectedRunMs: 40, failedSends,
+				kind: 'answer', result: answer, instanceId: 'i-2', decision, expectedWaitMs: 0, expectedRunMs: 40, failedSends,
 			},
 		});
 	};
@@ -50,6 +55,12 @@
 		expect(requestHistory(lines.join('\n'), 'r7').ending).toBe('request answered after a failed send with status 200 of i-2 by edge-1 after 20 ms');
 	});
 
+	it('tells by which configuration a request with homes was sent, and how old the knowledge was', () => {
+		const {lines, logAnswer} = setUp();
+		logAnswer('r', 1, 20, {...unrestricted, allowedRegions: ['a', 'b'], unconfirmedMs: 300.4});
+		expect(JSON.parse(lines[0]!)).toMatchObject({...unrestricted, allowedRegions: 'a b', unconfirmedMs: 300});
+	});
+
 	it('samples the requests that the first instance answers in time', () => {
 		const {lines, logAnswer} = setUp();
 		for (let index = 0; index < 6400; index++) {
--- a/src/services/request-log.ts
+++ b/src/services/request-log.ts
@@ -5,6 +5,7 @@
 import {type AccountCheck} from './accounts/account-check.js';
 import {type Logger} from './logger.js';
 import {type ProxyOutcome} from './proxy-outcome.js';
+import {type SendDecision} from './send-decision.js';
 
 type EndedRequest = {
 	readonly requestId: string | undefined;
@@ -17,6 +18,7 @@
 type FailedSend = {
 	readonly requestId: string | undefined;
 	readonly instance: LiveInstance;
+	readonly decision: SendDecision;
 	/** Whether the request had reached an instance before. */
 	readonly isRetry: boolean;
 	/** Time that was left for the request when it was sent, in milliseconds. */
@@ -65,6 +67,7 @@
 			status: outcome.result.status,
 			framing: outcome.result.framing,
 			instance: outcome.instanceId,
+			...describeDecision(outcome.decision),
 			expectedWaitMs: Math.round(outcome.expectedWaitMs),
 			expectedRunMs: Math.round(outcome.expectedRunMs),
 		};
@@ -77,11 +80,12 @@
 		}
 	}
 
-	logFailedSend({requestId, instance, isRetry, remainingMs, result, tookMs}: FailedSend): void {
+	logFailedSend({requestId, instance, decision, isRetry, remainingMs, result, tookMs}: FailedSend): void {
 		this.#logger.limited('a send brought no answer', {
 			request: requestId,
 			instance: instance.id,
 			address: instance.address,
+			...describeDecision(decision),
 			isRepeat: isRetry,
 			remainingMs: Math.round(remainingMs),
 			result: result.kind,
@@ -90,3 +94,8 @@
 		});
 	}
 }
+
+/** Returns what tells an outdated decision about the region from a wrong one. Requests that may run anywhere need no such fields. */
+function describeDecision({configuration, allowedRegions, region, unconfirmedMs}: SendDecision): Readonly<Record<string, string | number>> {
+	return {configuration, ...(allowedRegions.length > 0 && {allowedRegions: allowedRegions.join(' '), region, unconfirmedMs: Math.round(unconfirmedMs)})};
+}
--- a/src/services/steering-service.test.ts
+++ b/src/services/steering-service.test.ts
@@ -29,6 +29,7 @@
 			},
 			metrics: {gauge: ignore},
 			replica: {
+				unconfirmedMs: 0,
 				onChange(listener) {
 					apply = (...changes) => {
 						listener(changes, 'store');
--- a/src/services/steering-service.ts
+++ b/src/services/steering-service.ts
@@ -18,7 +18,7 @@
 	readonly clock: Clock;
 	readonly logger: Pick<Logger, 'info' | 'warn' | 'error' | 'limited'>;
 	readonly metrics: Pick<Metrics, 'gauge'>;
-	readonly replica: Pick<ReplicaService, 'onChange' | 'onNewEra'>;
+	readonly replica: Pick<ReplicaService, 'onChange' | 'onNewEra' | 'unconfirmedMs'>;
 	readonly itemCodec: SteeringItemCodec;
 	readonly instances: InstanceTable;
 };
@@ -53,6 +53,11 @@
 		return this.#table;
 	}
 
+	/** Time since which nothing has confirmed that this host has the latest configuration, in milliseconds; infinite before the first confirmation. */
+	get unconfirmedMs(): number {
+		return this.#options.replica.unconfirmedMs;
+	}
+
 	/** Whether the configuration in force has client accounts. */
 	get hasAccounts(): boolean {
 		return this.#table !== undefined && this.#table.accounts.size > 0;
--- a/src/services/store-reader.ts
+++ b/src/services/store-reader.ts
@@ -22,8 +22,8 @@
 	readonly onChanges: (changes: readonly StoreChange[], since: StoreVersion) => void;
 	/** Called after each full read and each watch: whether the store answered it. */
 	readonly onRead: (isAnswered: boolean) => void;
-	/** Called after a full read of all items, with their era. */
-	readonly onFullRead: (era: number) => void;
+	/** Called after a full read of all items, with their era and the time at which the read began. */
+	readonly onFullRead: (era: number, startMs: number) => void;
 };
 
 /** Maximum duration of one watch; it also bounds a watch on a connection that no longer delivers data. */
@@ -116,7 +116,7 @@
 		logger.info('all items read from the store', {
 			era, revision, items: read.data.items.length, changes: changes.length, tookMs: Math.round(clock.nowMs() - startMs),
 		});
-		onFullRead(era);
+		onFullRead(era, startMs);
 		onChanges(changes, since);
 		return {era, revision};
 	}
--- a/tools/placement-model/model-host.ts
+++ b/tools/placement-model/model-host.ts
@@ -65,6 +65,7 @@
 					this.#listener = listener;
 				},
 				onNewEra: () => undefined,
+				unconfirmedMs: 0,
 			},
 		});
 		const lifecycle = {
