--- a/stand-ins/link-stand-in.ts
+++ b/stand-ins/link-stand-in.ts
@@ -43,6 +43,14 @@
 		}
 	}
 
+	/** Passes bytes on again, those withheld included. */
+	mend(): void {
+		this.#isCut = false;
+		for (const socket of this.#sockets) {
+			socket.resume();
+		}
+	}
+
 	async close(): Promise<void> {
 		const closed = new Promise<void>(resolve => {
 			this.#server.close(() => {
