A host that may lack a later configuration refuses requests with homes

Cause: nothing bounded the age of the configuration by which a host sent requests. A host that was cut off from the store and its peers, that had just started from a seed's items, or that got a large configuration late went on by the homes that it knew for as long as that lasted. On a public route it took the key of an account that it didn't know for none, and ran the request anywhere.

Change: requests with homes, and those with an unknown key on a public route, are refused as not run (503, Retry-After 0.5 s) once nothing has confirmed for 0.6 of config_apply_ms that the host has the store's latest changes; before each attempt, too. The rest of that time is for the way of a change to the watchers and of their contact to the host. Requests without homes are served as before.

Unit tests of the admission beside it.

Cost: one comparison for each request with homes. No memory, store calls or bytes between hosts.

--- a/src/config/steering-settings.ts
+++ b/src/config/steering-settings.ts
@@ -20,6 +20,8 @@
 	quotaOverage: z.number().min(0).default(0.1),
 	/** Number of requests by which the count may exceed the quota in addition. */
 	quotaTolerance: z.number().min(0).default(20),
+	/** Time after the store's acknowledgement of a configuration from which every host must act by it, in milliseconds. */
+	configApplyMs: Milliseconds.default(4000),
 	/** Time from the stop signal until the platform kills the process, in milliseconds. */
 	graceMs: Milliseconds.default(6000),
 });
--- a/src/services/accounts/account-check.ts
+++ b/src/services/accounts/account-check.ts
@@ -19,6 +19,8 @@
 		/** Whether the client's identity headers must not reach instances. */
 		readonly hidesIdentity: boolean;
 		readonly priority: number;
+		/** Whether the request carries a key that no account of the configuration holds; it may belong to one of a later configuration. */
+		readonly isKeyUnknown: boolean;
 		/** Regions that both the route and the account allow; empty for all. */
 		readonly allowedRegions: readonly string[];
 	}
@@ -46,7 +48,7 @@
 		switch (identity.kind) {
 			case 'anonymous': {
 				return {
-					kind: 'admitted', route, table, account: undefined, hidesIdentity, priority: route.priority, allowedRegions: route.allowedRegions,
+					kind: 'admitted', route, table, account: undefined, hidesIdentity, priority: route.priority, isKeyUnknown: hidesIdentity && accountKey !== undefined, allowedRegions: route.allowedRegions,
 				};
 			}
 
@@ -79,7 +81,7 @@
 		}
 
 		return {
-			kind: 'admitted', route, table, account, hidesIdentity: true, priority: account.priority ?? route.priority, allowedRegions,
+			kind: 'admitted', route, table, account, hidesIdentity: true, priority: account.priority ?? route.priority, isKeyUnknown: false, allowedRegions,
 		};
 	}
 }
--- a/src/services/proxy-service.ts
+++ b/src/services/proxy-service.ts
@@ -42,6 +42,8 @@
 	readonly notices: Pick<NoticeRecorder, 'recordHead'>;
 	readonly quotas: Pick<QuotaService, 'take'>;
 	readonly random: SeededRandom;
+	/** Time without confirmation that the configuration is the latest from which requests with homes are refused, in milliseconds. */
+	readonly maxUnconfirmedMs: number;
 	/** Returns the number of hosts that may be sending to the same services. */
 	readonly countHosts: () => number;
 	/** Returns the rate, in requests per second, that all hosts together may send to a cold instance, given the rate that its service states. */
--- a/src/services/request-admission.test.ts
+++ b/src/services/request-admission.test.ts
@@ -1,6 +1,7 @@
 import {
 	beforeEach, describe, expect, it,
 } from 'vitest';
+import {type Account} from '../contracts/account.js';
 import {type Route} from '../contracts/route.js';
 import {type RouteTable} from '../contracts/route-table.js';
 import {type ProxyRequest} from './proxy-request.js';
@@ -27,6 +28,7 @@
 	let routeInForce: Route | undefined;
 	let table: RouteTable | undefined;
 	let drawn: string[];
+	let unconfirmedMs: number;
 	let admission: RequestAdmission;
 
 	function publish(next: Route | undefined): void {
@@ -36,12 +38,16 @@
 
 	beforeEach(() => {
 		drawn = [];
+		unconfirmedMs = 0;
 		admission = new RequestAdmission({
 			steering: {
 				get routes() {
 					return table;
 				},
 				match: () => routeInForce,
+				get unconfirmedMs() {
+					return unconfirmedMs;
+				},
 				nextServiceOf(from) {
 					const service = from.targets.find(({weight}) => weight > 0)?.service;
 					drawn.push(service ?? 'none');
@@ -49,6 +55,7 @@
 				},
 			},
 			metrics: {count: () => undefined},
+			maxUnconfirmedMs: 2400,
 		});
 		publish(route({books: 1}));
 	});
@@ -58,6 +65,52 @@
 		return first.kind === 'admitted' ? {admission: first, service: 'books'} : expect.unreachable();
 	}
 
+	// Guards against requests that run outside their homes because this host does not know that these have changed (HOME).
+	describe('on a host that may lack a later configuration', () => {
+		const homesUnknown = {kind: 'refused', outcome: {kind: 'not_run', reason: 'homes_unknown'}};
+		const account: Account = {
+			name: 'acme', priority: undefined, allowedRegions: ['a'], quota: undefined,
+		};
+
+		function publishWithAccount(fields: Partial<Route> = {}): void {
+			publish(route({books: 1}, fields));
+			table = {...table!, accounts: new Map([['acme', account]]), accountByKey: new Map([['k', account]])};
+		}
+
+		it.each([[2400, 'admitted'], [2401, 'refused'], [Number.POSITIVE_INFINITY, 'refused']])('%s ms after the last confirmation, a request whose route has homes is %s', (ageMs, kind) => {
+			publish(route({books: 1}, {allowedRegions: ['a']}));
+			unconfirmedMs = ageMs;
+			expect(admission.admit(req)).toMatchObject(kind === 'refused' ? homesUnknown : {kind});
+		});
+
+		it('refuses a request whose account has homes', () => {
+			publishWithAccount();
+			unconfirmedMs = 3000;
+			expect(admission.admit({...req, accountKey: 'k'})).toMatchObject(homesUnknown);
+		});
+
+		it('refuses a request to a public route with a key whose account may only be in a later configuration', () => {
+			publishWithAccount({isPublic: true});
+			unconfirmedMs = 3000;
+			expect(admission.admit({...req, accountKey: 'new'})).toMatchObject(homesUnknown);
+			unconfirmedMs = 0;
+			expect(admission.admit({...req, accountKey: 'new'})).toMatchObject({kind: 'admitted', account: undefined});
+		});
+
+		it('serves requests without homes', () => {
+			publishWithAccount({isPublic: true});
+			unconfirmedMs = Number.POSITIVE_INFINITY;
+			expect(admission.admit(req)).toMatchObject({kind: 'admitted'});
+		});
+
+		it('refuses a request that was admitted before it waited', () => {
+			publish(route({books: 1}, {allowedRegions: ['a']}));
+			const before = admitted();
+			unconfirmedMs = 3000;
+			expect(admission.decideAgain(req, before)).toMatchObject(homesUnknown);
+		});
+	});
+
 	// Guards against requests that are sent as an older configuration allows, after they waited while another one came into force (CONFIG).
 	describe('for a request that waited', () => {
 		it('takes the service that the route has now', () => {
--- a/src/services/request-admission.ts
+++ b/src/services/request-admission.ts
@@ -5,8 +5,10 @@
 import {type SteeringService} from './steering-service.js';
 
 type AdmissionOptions = {
-	readonly steering: Pick<SteeringService, 'routes' | 'match' | 'nextServiceOf'>;
+	readonly steering: Pick<SteeringService, 'routes' | 'match' | 'nextServiceOf' | 'unconfirmedMs'>;
 	readonly metrics: Pick<Metrics, 'count'>;
+	/** Time without confirmation that the configuration is the latest from which requests with homes are refused, in milliseconds. */
+	readonly maxUnconfirmedMs: number;
 };
 
 type Admission = ReturnType<AccountCheck['admit']>;
@@ -16,14 +18,18 @@
 type Destination = {readonly kind: 'admitted'; readonly admission: Admitted; readonly service: string};
 
 const notReadyRetryAfterMs = 500;
+/** Interval at which the watchers of the store report contact: the next report may confirm the configuration. */
+const homesUnknownRetryAfterMs = 500;
 
 /** Decides by the configuration in force whether a request may run, and at which service. */
 export class RequestAdmission {
 	readonly #steering: AdmissionOptions['steering'];
 	readonly #accounts: AccountCheck;
+	readonly #maxUnconfirmedMs: number;
 
-	constructor({steering, metrics}: AdmissionOptions) {
+	constructor({steering, metrics, maxUnconfirmedMs}: AdmissionOptions) {
 		this.#steering = steering;
+		this.#maxUnconfirmedMs = maxUnconfirmedMs;
 		this.#accounts = new AccountCheck(metrics);
 	}
 
@@ -38,19 +44,20 @@
 	}
 
 	/**
-	 * Decides anew on a request that was admitted by a configuration which is no longer in force. It keeps its service if the route still has that
+	 * Decides anew on a request that was admitted some time ago, perhaps by a configuration which is no longer in force. It keeps its service if the route still has that
 	 * one, so that it takes no second turn of the traffic split.
 	 */
 	decideAgain(req: ProxyRequest, {admission, service}: Pick<Destination, 'admission' | 'service'>): Destination | Refused {
-		if (this.#steering.routes === admission.table) {
-			return {kind: 'admitted', admission, service};
-		}
-
-		const latest = this.admit(req);
+		const isInForce = this.#steering.routes === admission.table;
+		const latest = isInForce ? this.#confirm(admission) : this.admit(req);
 		if (latest.kind === 'refused') {
 			return latest;
 		}
 
+		if (isInForce) {
+			return {kind: 'admitted', admission, service};
+		}
+
 		const {targets} = latest.route;
 		const isTarget = targets.some(target => target.service === service && (target.weight > 0 || targets.length === 1));
 		const next = isTarget ? service : this.#steering.nextServiceOf(latest.route);
@@ -60,7 +67,26 @@
 	#admitBy(table: RouteTable, req: ProxyRequest): Admission {
 		const [path] = req.target.split('?', 1);
 		const route = this.#steering.match(req.host, path!);
-		return route === undefined ? refused({kind: 'invalid', reason: 'no_route'}) : this.#accounts.admit(req, route, table);
+		return route === undefined ? refused({kind: 'invalid', reason: 'no_route'}) : this.#confirm(this.#accounts.admit(req, route, table));
+	}
+
+	/** Refuses a request with homes, or with a key whose account may have some, while a later configuration may be in force that this host does not have. */
+	#confirm(admission: Admission): Admission {
+		const hasHomes = admission.kind === 'admitted' && (admission.isKeyUnknown || admission.allowedRegions.length > 0);
+		const {unconfirmedMs} = this.#steering;
+		if (!hasHomes || unconfirmedMs <= this.#maxUnconfirmedMs) {
+			return admission;
+		}
+
+		const {route, account, table} = admission;
+		return {
+			kind: 'refused', route, account, outcome: {
+				kind: 'not_run',
+				reason: 'homes_unknown',
+				retryAfterMs: homesUnknownRetryAfterMs,
+				figures: {configuration: table.version, unconfirmedMs: Number.isFinite(unconfirmedMs) ? Math.round(unconfirmedMs) : 'never confirmed'},
+			},
+		};
 	}
 }
 
--- a/src/steering-daemon.ts
+++ b/src/steering-daemon.ts
@@ -70,6 +70,11 @@
 const requestSliceMs = 10;
 /** Time for which crash reports of requests are collected: an instance that fails loses all requests that it runs at once. */
 const crashReportCollectMs = 500;
+/**
+ * Share of the time in which a configuration must come into force for which a host relies on what it knows without a confirmation. The rest is for the
+ * way of a change to the watchers, and of their contact to this host.
+ */
+const maxUnconfirmedShare = 0.6;
 const maxPeerResponseBytes = 16_777_216;
 const maxInstanceConnections = 64;
 /** Responses of instances up to this size are buffered completely before they are forwarded. */
@@ -306,6 +311,7 @@
 						clock: get('clock'), metrics: get('metrics'), planner: get('planner'), region: settings.host.region,
 					}),
 					random: new SeededRandom(seed + 3),
+					maxUnconfirmedMs: bounds.configApplyMs * maxUnconfirmedShare,
 					countHosts: () => Math.max(get('steering').hosts.size, members.membership.alive().length),
 					coldLimitPerSecond: perSecond => (perSecond * bounds.coldMultiplier) + bounds.coldTolerance,
 				});
--- a/tools/placement-model/model-host.ts
+++ b/tools/placement-model/model-host.ts
@@ -114,6 +114,7 @@
 				clock, metrics: noMetrics, planner: this.planner, region: member.region,
 			}),
 			random: new SeededRandom(seed + 2),
+			maxUnconfirmedMs: Number.POSITIVE_INFINITY,
 			countHosts: () => members.length,
 			coldLimitPerSecond,
 		});
