A watcher begins its watch again after an outage of its path to the store

A watch that waited on a lost connection ended only after up to 3.8 s, while probes over new connections were answered again. Until then the watcher reported contact, and the hosts of its region took what they had for the latest: they sent requests by old homes, and now would have counted as confirmed.

The first probe that is answered after a failed one begins the watch again, unless the watch was answered in between, and counts as no contact; the next probe does. Cost: one more waiting watch call for each watcher and outage.

--- a/src/decisions/revision-tracker.ts
+++ b/src/decisions/revision-tracker.ts
@@ -78,6 +78,8 @@
 	#isSubstitute = false;
 	/** Whether the store answered none of the latest watch and the reads after it: this host then gets no changes, though the store may answer its probes. */
 	#isReadFailing = false;
+	/** Whether a probe failed since the present watch began: the store may answer again while the watch still waits on a connection that is lost. */
+	#isWatchSuspect = false;
 	#rank = Number.POSITIVE_INFINITY;
 	/** Latest time at which the store answered this host or a watcher whose changes this host has. */
 	#contactMs: number;
@@ -207,6 +209,12 @@
 			return effects;
 		}
 
+		if (this.#isWatchSuspect) {
+			this.#isWatchSuspect = false;
+			this.#watchSinceMs = nowMs;
+			return [...effects, {kind: 'read_store'}];
+		}
+
 		this.#contactMs = nowMs;
 		if (this.#isWatching && this.#lastProbeMs >= this.#watchSinceMs) {
 			this.#confirmed.confirm(nowMs);
@@ -215,9 +223,15 @@
 		return this.#isWatching ? [...effects, {kind: 'report_contact'}] : effects;
 	}
 
+	/** Records that the store did not answer a probe of this host. */
+	recordProbeFailure(): void {
+		this.#isWatchSuspect = this.#isWatching;
+	}
+
 	/** Records whether the store answered a watch or a full read of this host. */
 	recordRead(isAnswered: boolean): void {
 		this.#isReadFailing = !isAnswered;
+		this.#isWatchSuspect &&= !isAnswered;
 	}
 
 	/**
@@ -316,6 +330,7 @@
 
 		this.#isWatching = isWatching;
 		this.#isReadFailing = false;
+		this.#isWatchSuspect = false;
 		this.#watchSinceMs = isWatching ? nowMs : Number.POSITIVE_INFINITY;
 		return [{kind: 'watch', isWatching}];
 	}
--- a/src/services/replica-service.ts
+++ b/src/services/replica-service.ts
@@ -417,7 +417,13 @@
 	async #probeStore(): Promise<void> {
 		const {revisionTracker, clock} = this.#options;
 		const era = await this.#reader.ping();
-		if (era !== undefined && !this.#isClosed) {
+		if (this.#isClosed) {
+			return;
+		}
+
+		if (era === undefined) {
+			revisionTracker.recordProbeFailure();
+		} else {
 			this.#runEffects(revisionTracker.recordProbeAnswer(era, clock.nowMs()));
 		}
 	}
