Hosts send large items to each other compressed

Each version is one item of up to 1 MB. Above 13 KB compressed it goes from host to host by pulls, as plain JSON: 0.38 s of such a link for 0.42 MB, 0.9 s for 1 MB, and a host sends few at a time.

A host now states in a pull that it accepts compressed items, and gets those from 32 KB on in the zlib format, level 1. A peer that does not state it gets plain ones, and a response without the new field is read as before. At most 4 MiB are inflated; a malformed encoding fails the pull before anything is applied. A host compresses the same items once and keeps two encodings of at most 1 MiB; the limit of transfers counts the compressed size.

Two expectations of replica-service.test.ts compare whole requests and name the new field now.

--- a/src/services/replica-service.test.ts
+++ b/src/services/replica-service.test.ts
@@ -160,7 +160,9 @@
 			spread(6, at(9, 1), [itemAt('c', 8)]);
 			expect([replica.items.version, keys()]).toEqual([at(3, 1), ['a', 'c']]);
 			await expect.poll(() => replica.items.version).toEqual(at(9, 1));
-			expect(requests).toEqual([{haveRevision: 3, haveEra: 1, acceptsGaps: true}]);
+			expect(requests).toEqual([{
+				haveRevision: 3, haveEra: 1, acceptsGaps: true, acceptsDeflated: true,
+			}]);
 		});
 
 		it.each([at(6), at(6, 2), at(3, 1)])('ignores those of another era, and what it has already: %o', version => {
@@ -194,7 +196,9 @@
 			response = whole(2, 50, itemAt('b', 40));
 			reportRevision(at(50, 2), 'peer');
 			await expect.poll(() => replica.items.version).toEqual(at(50, 2));
-			expect(requests).toEqual([{haveRevision: 100, haveEra: 1, acceptsGaps: true}]);
+			expect(requests).toEqual([{
+				haveRevision: 100, haveEra: 1, acceptsGaps: true, acceptsDeflated: true,
+			}]);
 			expect([keys(), eras]).toEqual([['b'], [[2, 2700]]]);
 			expect(metrics.render()).toContain('store_era_changes 1');
 			expect(changes).toContainEqual({
--- a/src/services/replica-service.ts
+++ b/src/services/replica-service.ts
@@ -10,8 +10,10 @@
 import {compareVersions} from '../decisions/compare-versions.js';
 import {type Lifecycle} from '../kernel/lifecycle.js';
 import {ChangeSpreader} from './change-spreader.js';
+import {decodeItemPull} from './decode-item-pull.js';
 import {describeCallError} from './describe-call-error.js';
 import {itemDelta} from './item-delta.js';
+import {ItemPullEncoder} from './item-pull-encoder.js';
 import {type Logger} from './logger.js';
 import {type MembersService} from './members-service.js';
 import {type Metrics} from './metrics.js';
@@ -55,6 +57,7 @@
 	readonly #eraListeners: Array<(era: number, retainUntilMs: number) => Promise<void> | void> = [];
 	readonly #reader: StoreReader;
 	readonly #spreader: ChangeSpreader;
+	readonly #pullEncoder = new ItemPullEncoder();
 	#members: MembersService | undefined;
 	#watch: AbortController | undefined;
 	/** Newest era that the store stated to this host, or a peer with items of it. */
@@ -164,12 +167,11 @@
 
 	/**
 	 * Returns what `changesSince` does, or `undefined` if it is large and this host is sending as much as its link carries to other peers.
-	 * `onResponseEnd` registers a listener for the end of the response.
+	 * `onResponseEnd` registers a listener for the end of the response. The items are compressed if they are large and the peer accepts that.
 	 */
-	answerPull(have: Parameters<typeof this.changesSince>[0], acceptsGaps: boolean, onResponseEnd: (listener: () => void) => void): ItemPull | undefined {
+	answerPull(have: Parameters<typeof this.changesSince>[0], acceptsGaps: boolean, onResponseEnd: (listener: () => void) => void, acceptsDeflated = false): ItemPull | undefined {
 		const {admission, clock, metrics, logger} = this.#options;
-		const pull = this.changesSince(have, acceptsGaps);
-		const bytes = pull.items.reduce((total, {key, value}) => total + key.length + value.length, 0);
+		const {pull, bytes} = this.#pullEncoder.encode(this.changesSince(have, acceptsGaps), acceptsDeflated);
 		const end = admission.admit(bytes, clock.nowMs());
 		if (end === undefined) {
 			metrics.count('replica_pulls_refused');
@@ -272,9 +274,11 @@
 		const startMs = clock.nowMs();
 		try {
 			const {era: haveEra, revision: haveRevision} = this.items.version;
-			const pull = ItemPull.parse(await peerClient.steering(address, () => {
+			const pull = decodeItemPull(await peerClient.steering(address, () => {
 				revisionTracker.recordPullProgress(address, clock.nowMs());
-			}).items.mutate({haveRevision, haveEra, acceptsGaps: true}));
+			}).items.mutate({
+				haveRevision, haveEra, acceptsGaps: true, acceptsDeflated: true,
+			}));
 			const {era = 0, isWhole, sinceRevision = isWhole ? 0 : haveRevision, gaps = isWhole ? [[0, pull.revision]] : []} = pull;
 			this.#noteEra(era, address);
 			const nowMs = clock.nowMs();
--- a/src/services/steering-router.ts
+++ b/src/services/steering-router.ts
@@ -31,9 +31,11 @@
 		...memberProcedures(options),
 		/** Returns the changes of the store's items that the caller does not have yet. Large ones are refused while others fill this host's link. */
 		items: trpc.procedure
-			.input(z.object({haveRevision: z.int().min(0), haveEra: z.int().min(0).optional(), acceptsGaps: z.boolean().default(false)}))
+			.input(z.object({
+				haveRevision: z.int().min(0), haveEra: z.int().min(0).optional(), acceptsGaps: z.boolean().default(false), acceptsDeflated: z.boolean().default(false),
+			}))
 			.mutation(({input, ctx}) => {
-				const pull = options.replica.answerPull({revision: input.haveRevision, era: input.haveEra}, input.acceptsGaps, ctx.onResponseEnd);
+				const pull = options.replica.answerPull({revision: input.haveRevision, era: input.haveEra}, input.acceptsGaps, ctx.onResponseEnd, input.acceptsDeflated);
 				if (pull === undefined) {
 					throw new TRPCError({code: 'TOO_MANY_REQUESTS', message: 'other large transfers are in progress'});
 				}
