A watcher confirms what its region knows only while it has all changes itself

A watcher counted an answered probe as a confirmation, and reported contact, while a large response to its watch was still arriving over a narrow link, between two calls of its watch, and as a substitute before its first one. Its region, and the watchers among each other, then took what they had for the latest for as long as that lasted.

Now a watcher has its evidence from the store alone (WatchEvidence): a complete response confirms the time at which it began, an answered probe the present if the call waits and nothing arrives. It reports a contact with its version only if that evidence is at most 0.6 s old; otherwise a contact with revision 0, which says that the store answers, so that the others need not watch it too, and confirms nothing.

Test models follow the service: a watch that begins again keeps its version. revision-tracker.test.ts: the watcher's contact after a new era is expected after a probe that was sent while its watch waited.

Cost: none in calls, bytes or timers.

--- a/src/contracts/gossip-message.ts
+++ b/src/contracts/gossip-message.ts
@@ -37,7 +37,7 @@
 	z.object({kind: z.literal('gone'), gone: z.string(), ...CommonFields}),
 	/**
 	 * Reports a new revision or member updates immediately instead of with the next probe. `contactOf` is a process that
-	 * watches the store and has just been answered by it, `contactRevision` and `contactEra` the version that it had. A `contactOf` that
+	 * watches the store and has just been answered by it, `contactRevision` and `contactEra` the version that it had; revision 0 says that it may lack changes. A `contactOf` that
 	 * names the receiver reports no contact: with an era, the fields cannot be left out, since they precede it on the wire.
 	 * A contact is relayed by the members that receive it from the watcher, unless `isRelayed` is false. `partData` is one of `partCount` parts
 	 * of the encoded changes of the store that lead up to the contact's version.
--- a/src/contracts/prefix-store.ts
+++ b/src/contracts/prefix-store.ts
@@ -22,8 +22,11 @@
 export type PrefixStore = {
 	/** Returns all items under a prefix, all of one era; `revision` is that of the store before the first item was read. */
 	readonly list: (prefix: string) => Promise<Result<EraStatement & {readonly items: readonly StoreItem[]; readonly revision: number}, StoreError>>;
-	/** Waits up to `waitMs` for changes after a revision; returns them and the revision from which to continue. They follow on the revision only if its era is the one returned. */
-	readonly watchPrefix: (prefix: string, afterRevision: number, waitMs: number, signal: AbortSignal) =>
+	/**
+	 * Waits up to `waitMs` for changes after a revision; returns them and the revision from which to continue. They follow on the revision only if its era is the one returned.
+	 * `onProgress` is called when the response begins to arrive, and may be called again while it does.
+	 */
+	readonly watchPrefix: (prefix: string, afterRevision: number, waitMs: number, signal: AbortSignal, onProgress?: () => void) =>
 	Promise<Result<EraStatement & {readonly changes: readonly StoreEvent[]; readonly revision: number}, HistoryError>>;
 	/** Makes the cheapest possible call, to find out whether the store answers. */
 	readonly ping: () => Promise<Result<EraStatement, StoreError>>;
--- a/src/decisions/membership.ts
+++ b/src/decisions/membership.ts
@@ -208,10 +208,10 @@
 		return this.isDelegate() ? this.#sendToRegions(this.#regions.allMessages()) : [];
 	}
 
-	/** Tells the region that the store, which this process watches, has just answered it. */
-	reportStoreContact(): MembershipEffect[] {
+	/** Tells the region that the store, which this process watches, has just answered it, and whether this process has all changes. */
+	reportStoreContact(hasAllChanges = true): MembershipEffect[] {
 		const {direct} = contactTargets(this.#selfKey, this.#selfKey, this.alive());
-		return this.#sendContact(direct, this.#selfKey, this.#version);
+		return this.#sendContact(direct, this.#selfKey, hasAllChanges ? this.#version : {...this.#version, revision: 0});
 	}
 
 	/**
--- a/src/decisions/revision-tracker.test.ts
+++ b/src/decisions/revision-tracker.test.ts
@@ -202,6 +202,8 @@
 		const watcher = () => {
 			const tracker = new RevisionTracker(new SeededRandom(1), 0);
 			tracker.adopt({era: 0, revision: 1});
+			tracker.tick(0, 0);
+			tracker.recordWatchStart(10);
 			tracker.tick(500, 0);
 			expect(tracker.recordProbeAnswer(0, 510)).toEqual([{kind: 'report_contact'}]);
 			tracker.tick(1000, 0);
@@ -214,6 +216,7 @@
 			const tracker = watcher();
 			expect(tracker.recordProbeAnswer(0, 1510)).toEqual([{kind: 'read_store'}]);
 			expect(tracker.unconfirmedMs(1510)).toBe(1000);
+			tracker.recordWatchStart(1520);
 			tracker.tick(2000, 0);
 			expect(tracker.recordProbeAnswer(0, 2010)).toEqual([{kind: 'report_contact'}]);
 			expect(tracker.unconfirmedMs(2010)).toBe(0);
@@ -222,6 +225,7 @@
 		it('keeps a watch that was answered after the failure', () => {
 			const tracker = watcher();
 			tracker.recordRead(true);
+			tracker.recordWatchStart(1200);
 			expect(tracker.recordProbeAnswer(0, 1510)).toEqual([{kind: 'report_contact'}]);
 		});
 	});
@@ -312,7 +316,9 @@
 			tracker.tick(10, 0);
 			expect(tracker.recordProbeAnswer(2, 20)).toEqual([{kind: 'read_store'}]);
 			tracker.adopt(at(20, 2));
-			expect(tracker.recordProbeAnswer(2, 30)).toEqual([{kind: 'report_contact'}]);
+			tracker.recordWatchStart(30);
+			tracker.tick(510, 0);
+			expect(tracker.recordProbeAnswer(2, 520)).toEqual([{kind: 'report_contact'}]);
 		});
 
 		it('takes a probe that a lagging copy of the store answered with the era before for no contact', () => {
--- a/src/decisions/revision-tracker.ts
+++ b/src/decisions/revision-tracker.ts
@@ -3,6 +3,7 @@
 import {ConfirmedContacts} from './confirmed-contacts.js';
 import {EraTracker} from './era-tracker.js';
 import {type SeededRandom} from './seeded-random.js';
+import {WatchEvidence} from './watch-evidence.js';
 
 type Effect =
 	/** Pulls the changes since the local revision from the daemon at this address. */
@@ -15,8 +16,10 @@
 	| {readonly kind: 'watch'; readonly isWatching: boolean}
 	/** Makes a cheap call to the store, to find out whether it answers this host. */
 	| {readonly kind: 'probe_store'}
-	/** Tells the region that the store has just answered this host, which watches it. */
-	| {readonly kind: 'report_contact'};
+	/** Tells the region that the store has just answered this host, which watches it and has all changes. */
+	| {readonly kind: 'report_contact'}
+	/** Tells the region that the store has just answered this host, which watches it, but that changes may still be on their way to it. */
+	| {readonly kind: 'report_answer'};
 
 type Timing = {
 	/** Interval at which a watcher probes the store. */
@@ -47,6 +50,11 @@
 const storeReadIntervalMs = 2000;
 /** Shortest time between pulls from daemons that state no era: their responses have all items. */
 const unorderedPullIntervalMs = 2000;
+/**
+ * Time since which a watcher may at most have had all changes for its contact to confirm those of its region: a little more than the interval of
+ * its probes. It adds to the time for which hosts rely on what they know.
+ */
+const maxReportedAgeMs = 600;
 /** Number of peers remembered as sources of the newest reported revision. */
 const maxSources = 4;
 
@@ -68,6 +76,7 @@
 	readonly #timing: Timing;
 	readonly #eras = new EraTracker();
 	readonly #confirmed = new ConfirmedContacts();
+	readonly #evidence = new WatchEvidence();
 	#version: StoreVersion = {era: 0, revision: 0};
 	#newestReported: {version: StoreVersion; sources: string[]} = {version: {era: 0, revision: 0}, sources: []};
 	#behindSinceMs: number | undefined;
@@ -78,15 +87,11 @@
 	#isSubstitute = false;
 	/** Whether the store answered none of the latest watch and the reads after it: this host then gets no changes, though the store may answer its probes. */
 	#isReadFailing = false;
-	/** Whether a probe failed since the present watch began: the store may answer again while the watch still waits on a connection that is lost. */
-	#isWatchSuspect = false;
 	#rank = Number.POSITIVE_INFINITY;
 	/** Latest time at which the store answered this host or a watcher whose changes this host has. */
 	#contactMs: number;
 	/** Latest reported contact, with the version that the watcher had. */
 	#reportedContact: {readonly version: StoreVersion; readonly atMs: number} | undefined;
-	/** Time at which the present watch began. */
-	#watchSinceMs = Number.POSITIVE_INFINITY;
 	#lastProbeMs = Number.NEGATIVE_INFINITY;
 	#lastStoreReadMs = Number.NEGATIVE_INFINITY;
 	#lastUnorderedPullMs = Number.NEGATIVE_INFINITY;
@@ -186,10 +191,9 @@
 		return this.#readIfBehind(nowMs);
 	}
 
-	/** Records that the store stated an era in a full read, which no other statement outranks. `startMs` is the time at which the read began. */
-	recordFullRead(era: number, startMs = Number.NEGATIVE_INFINITY): void {
+	/** Records that the store stated an era in a full read, which no other statement outranks. */
+	recordFullRead(era: number): void {
 		this.#eras.confirm(era);
-		this.#confirmed.confirm(startMs);
 	}
 
 	/** Records that the store answered a probe of this host, and the era that it stated. Of an older era, the answer is late and says nothing. */
@@ -198,7 +202,7 @@
 			return [];
 		}
 
-		const effects = this.#isStale(nowMs) && !this.#isDesignated() ? this.#setSubstitute(true, nowMs) : [];
+		const effects = this.#isStale(nowMs) && !this.#isDesignated() ? this.#setSubstitute(true) : [];
 		if (era > this.#version.era) {
 			// The watch that begins now, or is restarted, reads all items first. Until then this host lacks changes and reports no contact.
 			const reads = this.recordStoreEra(era, nowMs);
@@ -209,33 +213,48 @@
 			return effects;
 		}
 
-		if (this.#isWatchSuspect) {
-			this.#isWatchSuspect = false;
-			this.#watchSinceMs = nowMs;
+		if (this.#isWatching && this.#evidence.isSuspect) {
+			this.#evidence.reset();
 			return [...effects, {kind: 'read_store'}];
 		}
 
 		this.#contactMs = nowMs;
-		if (this.#isWatching && this.#lastProbeMs >= this.#watchSinceMs) {
-			this.#confirmed.confirm(nowMs);
+		if (!this.#isWatching) {
+			return effects;
 		}
 
-		return this.#isWatching ? [...effects, {kind: 'report_contact'}] : effects;
+		this.#evidence.recordProbeAnswer(this.#lastProbeMs, nowMs);
+		this.#confirmed.confirm(this.#evidence.confirmedMs);
+		return [...effects, {kind: nowMs - this.#evidence.confirmedMs <= maxReportedAgeMs ? 'report_contact' : 'report_answer'}];
 	}
 
 	/** Records that the store did not answer a probe of this host. */
 	recordProbeFailure(): void {
-		this.#isWatchSuspect = this.#isWatching;
+		this.#evidence.recordProbeFailure();
 	}
 
-	/** Records whether the store answered a watch or a full read of this host. */
-	recordRead(isAnswered: boolean): void {
+	/** Records that this host waits for the changes after those that it has, in the next call of its watch. */
+	recordWatchStart(nowMs: number): void {
+		this.#evidence.recordCall(nowMs);
+	}
+
+	/** Records that a response to a watch arrives, or that a full read has begun: until its end this host lacks changes. */
+	recordReadProgress(nowMs: number): void {
+		this.#evidence.recordProgress(nowMs);
+	}
+
+	/**
+	 * Records whether the store answered a watch or a full read of this host, and whether with all changes. They are those until the response began, or
+	 * until the full read did.
+	 */
+	recordRead(isAnswered: boolean, isComplete = isAnswered): void {
+		this.#evidence.recordEnd(isAnswered, isComplete);
+		this.#confirmed.confirm(this.#evidence.confirmedMs);
 		this.#isReadFailing = !isAnswered;
-		this.#isWatchSuspect &&= !isAnswered;
 	}
 
 	/**
-	 * Records that the store has just answered a watcher of this region, which has this version and this rank. A watcher of an older era
+	 * Records that the store has just answered a watcher of this region, which has this version and this rank; revision 0 says that it may lack changes. A watcher of an older era
 	 * delivers no changes of this one, so that its contact does not count.
 	 */
 	recordReportedContact(version: StoreVersion, rank: number, nowMs: number): Effect[] {
@@ -245,9 +264,12 @@
 
 		this.#eras.hear(version.era, nowMs);
 		this.#reportedContact = {version, atMs: nowMs};
-		this.#confirmed.add(version, nowMs, this.#version);
+		if (version.revision > 0) {
+			this.#confirmed.add(version, nowMs, this.#version);
+		}
+
 		this.#countReportedContact();
-		return rank < this.#rank ? this.#setSubstitute(false, nowMs) : [];
+		return rank < this.#rank ? this.#setSubstitute(false) : [];
 	}
 
 	/** Records that a part of the response to a pull arrived. */
@@ -270,7 +292,7 @@
 	/** Advances time. `rank` is the host's position in its region's order of delegates, starting at 0. */
 	tick(nowMs: number, rank: number): Effect[] {
 		this.#rank = rank;
-		const effects: Effect[] = this.#setSubstitute(this.#isSubstitute && !this.#isDesignated(), nowMs);
+		const effects: Effect[] = this.#setSubstitute(this.#isSubstitute && !this.#isDesignated());
 		const isProbing = this.#isWatching || this.#isStale(nowMs);
 		const probeIntervalMs = this.#timing.probeIntervalMs * (this.#isWatching ? 1 : staleProbeFactor);
 		if (isProbing && nowMs - this.#lastProbeMs >= probeIntervalMs) {
@@ -321,7 +343,7 @@
 		}
 	}
 
-	#setSubstitute(isSubstitute: boolean, nowMs: number): Effect[] {
+	#setSubstitute(isSubstitute: boolean): Effect[] {
 		this.#isSubstitute = isSubstitute;
 		const isWatching = isSubstitute || this.#isDesignated();
 		if (isWatching === this.#isWatching) {
@@ -330,8 +352,7 @@
 
 		this.#isWatching = isWatching;
 		this.#isReadFailing = false;
-		this.#isWatchSuspect = false;
-		this.#watchSinceMs = isWatching ? nowMs : Number.POSITIVE_INFINITY;
+		this.#evidence.reset();
 		return [{kind: 'watch', isWatching}];
 	}
 
--- a/src/services/config-service.ts
+++ b/src/services/config-service.ts
@@ -106,7 +106,8 @@
 					break;
 				}
 
-				case 'report_contact': {
+				case 'report_contact':
+				case 'report_answer': {
 					this.#options.members.run(this.#options.members.membership.reportStoreContact());
 					break;
 				}
--- a/src/services/replica-service.ts
+++ b/src/services/replica-service.ts
@@ -75,14 +75,20 @@
 			onEra: era => {
 				this.#noteEra(era, 'store');
 			},
-			onRead(isAnswered) {
-				options.revisionTracker.recordRead(isAnswered);
+			onWatch() {
+				options.revisionTracker.recordWatchStart(options.clock.nowMs());
+			},
+			onProgress() {
+				options.revisionTracker.recordReadProgress(options.clock.nowMs());
+			},
+			onRead(isAnswered, isComplete) {
+				options.revisionTracker.recordRead(isAnswered, isComplete);
 			},
 			onChanges: (changes, since) => {
 				this.#propagateChanges(changes, 'store', this.#spread(since) ? 'spread' : 'announced');
 			},
-			onFullRead(era, startMs) {
-				options.revisionTracker.recordFullRead(era, startMs);
+			onFullRead(era) {
+				options.revisionTracker.recordFullRead(era);
 			},
 		});
 	}
@@ -260,8 +266,9 @@
 					break;
 				}
 
-				case 'report_contact': {
-					this.#members?.run(this.#members.membership.reportStoreContact());
+				case 'report_contact':
+				case 'report_answer': {
+					this.#members?.run(this.#members.membership.reportStoreContact(effect.kind === 'report_contact'));
 					break;
 				}
 			}
--- a/src/services/store-reader.test.ts
+++ b/src/services/store-reader.test.ts
@@ -63,6 +63,8 @@
 			},
 			onChanges: ignore,
 			onFullRead: ignore,
+			onProgress: ignore,
+			onWatch: ignore,
 		});
 	});
 
--- a/src/services/store-reader.ts
+++ b/src/services/store-reader.ts
@@ -20,10 +20,14 @@
 	readonly onEra: (era: number) => void;
 	/** Called with the changes that a response made, also if there are none, and the version on which what it contains follows. */
 	readonly onChanges: (changes: readonly StoreChange[], since: StoreVersion) => void;
-	/** Called after each full read and each watch: whether the store answered it. */
-	readonly onRead: (isAnswered: boolean) => void;
-	/** Called after a full read of all items, with their era and the time at which the read began. */
-	readonly onFullRead: (era: number, startMs: number) => void;
+	/** Called at the start of each call that waits for changes. */
+	readonly onWatch: () => void;
+	/** Called when a response to a watch begins to arrive, and at the start of each full read. */
+	readonly onProgress: () => void;
+	/** Called after each full read and each watch: whether the store answered it, and whether with all items or changes. */
+	readonly onRead: (isAnswered: boolean, isComplete: boolean) => void;
+	/** Called after a full read of all items, with their era. */
+	readonly onFullRead: (era: number) => void;
 };
 
 /** Maximum duration of one watch; it also bounds a watch on a connection that no longer delivers data. */
@@ -97,8 +101,9 @@
 	async #readOnce(): Promise<StoreVersion | undefined> {
 		const {store, items, clock, logger, onRead, onChanges, onFullRead} = this.#options;
 		const startMs = clock.nowMs();
+		this.#options.onProgress();
 		const read = await store.list('');
-		onRead(read.success);
+		onRead(read.success, read.success);
 		if (!read.success) {
 			this.#recordFailure(read.error);
 			return undefined;
@@ -116,20 +121,21 @@
 		logger.info('all items read from the store', {
 			era, revision, items: read.data.items.length, changes: changes.length, tookMs: Math.round(clock.nowMs() - startMs),
 		});
-		onFullRead(era, startMs);
+		onFullRead(era);
 		onChanges(changes, since);
 		return {era, revision};
 	}
 
 	/** Waits for one set of changes. Returns the version from which to continue, or `undefined` if all items have to be read again. */
 	async #watchOnce(after: StoreVersion, signal: AbortSignal): Promise<StoreVersion | undefined> {
-		const {store, items, onRead, onChanges} = this.#options;
-		const read = await store.watchPrefix('', after.revision, watchWaitMs, signal);
+		const {store, items, onWatch, onProgress, onRead, onChanges} = this.#options;
+		onWatch();
+		const read = await store.watchPrefix('', after.revision, watchWaitMs, signal, onProgress);
 		if (signal.aborted) {
 			return undefined;
 		}
 
-		onRead(read.success || read.error.code === 'compacted');
+		onRead(read.success || read.error.code === 'compacted', read.success);
 		if (!read.success) {
 			if (read.error.code === 'compacted') {
 				this.#recordResponse(read.error.era);
--- a/test/large-changes-model.ts
+++ b/test/large-changes-model.ts
@@ -10,7 +10,7 @@
 type Effect = ReturnType<RevisionTracker['tick']>[number];
 type NetworkEffect = Parameters<NonNullable<ConstructorParameters<typeof SimulatedNetwork>[0]['onEffect']>>[1];
 type Host = {
-	tracker: RevisionTracker & {unconfirmedMs?: (nowMs: number) => number};
+	tracker: RevisionTracker;
 	readonly linkMbps: number;
 	admission: TransferAdmission;
 	/** Whether the store answers this host nothing. */
@@ -30,6 +30,7 @@
 const callMs = 40;
 const pullDelayMs = 300;
 const controlTimeoutMs = 1500;
+const storeTimeoutMs = 800;
 /** Largest changes that a watcher spreads in datagrams. */
 const maxSpreadBytes = 13_200;
 const era = 0;
@@ -130,7 +131,7 @@
 
 	/** Returns the time since which nothing has confirmed that a host has the store's latest changes. */
 	unconfirmedMs(index: number): number {
-		return this.hosts[index]!.tracker.unconfirmedMs?.(this.network.nowMs) ?? 0;
+		return this.hosts[index]!.tracker.unconfirmedMs(this.network.nowMs);
 	}
 
 	#newTracker(index: number, startMs: number): RevisionTracker {
@@ -150,6 +151,12 @@
 			onFailure: () => {
 				this.#failRead(index);
 			},
+			onWatch: nowMs => {
+				this.hosts[index]!.tracker.recordWatchStart(nowMs);
+			},
+			onProgress: nowMs => {
+				this.hosts[index]!.tracker.recordReadProgress(nowMs);
+			},
 		});
 	}
 
@@ -207,21 +214,31 @@
 				}
 
 				case 'read_store': {
-					host.reader.readAll();
+					if (host.tracker.isWatching) {
+						host.reader.setWatching(true);
+					} else {
+						host.reader.readAll();
+					}
+
 					break;
 				}
 
 				case 'probe_store': {
 					this.#later(host, callMs, () => {
-						if (!host.isCut) {
+						if (host.isCut) {
+							this.#later(host, storeTimeoutMs - callMs, () => {
+								host.tracker.recordProbeFailure();
+							});
+						} else {
 							this.#runEffects(index, host.tracker.recordProbeAnswer(era, this.network.nowMs));
 						}
 					});
 					break;
 				}
 
-				case 'report_contact': {
-					this.network.act(index, membership => membership.reportStoreContact());
+				case 'report_contact':
+				case 'report_answer': {
+					this.network.act(index, membership => membership.reportStoreContact(effect.kind === 'report_contact'));
 					break;
 				}
 
--- a/test/simulated-store-reader.ts
+++ b/test/simulated-store-reader.ts
@@ -12,6 +12,10 @@
 	/** Called with each response: the revision after which it has the changes (0: all items), the one up to which it has them, its size, and the time at which the store began it. */
 	readonly onAnswer: (answer: {readonly after: number; readonly revision: number; readonly bytes: number; readonly asOfMs: number}) => void;
 	readonly onFailure: () => void;
+	/** Called at the start of each call that waits for changes. */
+	readonly onWatch: (nowMs: number) => void;
+	/** Called when a response with changes begins to arrive. */
+	readonly onProgress: (nowMs: number) => void;
 };
 
 /** State of the one call in progress; what is sent waits for the store, and then for the host's link. */
@@ -64,6 +68,7 @@
 				this.#receive(0, nowMs);
 			} else {
 				this.#state = {kind: 'watching', sinceMs: nowMs, after: this.#options.revision()};
+				this.#options.onWatch(nowMs);
 			}
 		} else if (this.#state.kind === 'watching') {
 			this.#tickWatch(this.#state, nowMs);
@@ -85,13 +90,15 @@
 			onAnswer({
 				after: watch.after, revision: watch.after, bytes: 0, asOfMs: answeredMs,
 			});
+			this.#options.onWatch(nowMs);
 		}
 	}
 
 	/** Receives the changes after a revision as they are now, or all items. */
 	#receive(after: number, startMs: number): void {
-		const {host, log, transfers, onAnswer} = this.#options;
+		const {host, log, transfers, onAnswer, onProgress} = this.#options;
 		const {revision} = log;
+		onProgress(startMs);
 		const bytes = log.bytesBetween(after, revision);
 		const transfer = transfers.begin({
 			from: undefined,
--- a/test/store-watch-model.ts
+++ b/test/store-watch-model.ts
@@ -197,7 +197,8 @@
 				break;
 			}
 
-			case 'report_contact': {
+			case 'report_contact':
+			case 'report_answer': {
 				network.act(index, membership => membership.reportStoreContact());
 				break;
 			}
