A host that may lack a later configuration refuses nothing for good

While nothing confirms that a host has the latest configuration, an unknown key and a path without a route get 503 with Retry-After, like requests with homes: another host, or this one a little later, can tell. The reason of all of them is unconfirmed now. The unit test failed before (invalid).

--- a/src/cli/request-history.ts
+++ b/src/cli/request-history.ts
@@ -24,7 +24,7 @@
 	retry_budget: 'an instance refused it and the host had used up its share of the retry budget',
 	timeout: 'its deadline expired',
 	no_common_region: 'no region allows both its route and its account',
-	homes_unknown: 'the host could not know whether its homes had changed: nothing confirmed for too long that the host has the latest configuration; see "configuration" and "unconfirmedMs"',
+	unconfirmed: 'the host could not know whether its homes had changed, or whether a later configuration allows it: nothing confirmed for too long that the host has the latest one; see "configuration" and "unconfirmedMs"',
 	quarantined: 'requests with its fingerprint crashed two instances',
 	stopping: 'the host was in a planned stop',
 	no_memory: 'the host held as much for its clients as it may; see "the connection of a client was closed to protect this host" of these seconds',
--- a/src/services/proxy-outcome.ts
+++ b/src/services/proxy-outcome.ts
@@ -22,7 +22,7 @@
 	/** The request did not run and will not run later. */
 	| {
 		readonly kind: 'not_run';
-		readonly reason: 'not_ready' | 'no_upstream' | 'busy' | 'paused' | 'shed' | 'retry_budget' | 'timeout' | 'quarantined' | 'stopping' | 'no_common_region' | 'homes_unknown' | 'over_quota' | 'no_memory';
+		readonly reason: 'not_ready' | 'no_upstream' | 'busy' | 'paused' | 'shed' | 'retry_budget' | 'timeout' | 'quarantined' | 'stopping' | 'no_common_region' | 'unconfirmed' | 'over_quota' | 'no_memory';
 		readonly retryAfterMs: number;
 		readonly figures?: RefusalFigures | undefined;
 	}
--- a/src/services/request-admission.test.ts
+++ b/src/services/request-admission.test.ts
@@ -67,7 +67,7 @@
 
 	// Guards against requests that run outside their homes because this host does not know that these have changed (HOME).
 	describe('on a host that may lack a later configuration', () => {
-		const homesUnknown = {kind: 'refused', outcome: {kind: 'not_run', reason: 'homes_unknown'}};
+		const unconfirmed = {kind: 'refused', outcome: {kind: 'not_run', reason: 'unconfirmed'}};
 		const account: Account = {
 			name: 'acme', priority: undefined, allowedRegions: ['a'], quota: undefined,
 		};
@@ -80,23 +80,32 @@
 		it.each([[2400, 'admitted'], [2401, 'refused'], [Number.POSITIVE_INFINITY, 'refused']])('%s ms after the last confirmation, a request whose route has homes is %s', (ageMs, kind) => {
 			publish(route({books: 1}, {allowedRegions: ['a']}));
 			unconfirmedMs = ageMs;
-			expect(admission.admit(req)).toMatchObject(kind === 'refused' ? homesUnknown : {kind});
+			expect(admission.admit(req)).toMatchObject(kind === 'refused' ? unconfirmed : {kind});
 		});
 
 		it('refuses a request whose account has homes', () => {
 			publishWithAccount();
 			unconfirmedMs = 3000;
-			expect(admission.admit({...req, accountKey: 'k'})).toMatchObject(homesUnknown);
+			expect(admission.admit({...req, accountKey: 'k'})).toMatchObject(unconfirmed);
 		});
 
 		it('refuses a request to a public route with a key whose account may only be in a later configuration', () => {
 			publishWithAccount({isPublic: true});
 			unconfirmedMs = 3000;
-			expect(admission.admit({...req, accountKey: 'new'})).toMatchObject(homesUnknown);
+			expect(admission.admit({...req, accountKey: 'new'})).toMatchObject(unconfirmed);
 			unconfirmedMs = 0;
 			expect(admission.admit({...req, accountKey: 'new'})).toMatchObject({kind: 'admitted', account: undefined});
 		});
 
+		it('refuses nothing for good that a later configuration may allow', () => {
+			publishWithAccount();
+			expect(admission.admit({...req, accountKey: 'new'})).toMatchObject({outcome: {kind: 'invalid', reason: 'unauthorized'}});
+			unconfirmedMs = 3000;
+			expect(admission.admit({...req, accountKey: 'new'})).toMatchObject(unconfirmed);
+			publish(undefined);
+			expect(admission.admit(req)).toMatchObject(unconfirmed);
+		});
+
 		it('serves requests without homes', () => {
 			publishWithAccount({isPublic: true});
 			unconfirmedMs = Number.POSITIVE_INFINITY;
@@ -107,7 +116,7 @@
 			publish(route({books: 1}, {allowedRegions: ['a']}));
 			const before = admitted();
 			unconfirmedMs = 3000;
-			expect(admission.decideAgain(req, before)).toMatchObject(homesUnknown);
+			expect(admission.decideAgain(req, before)).toMatchObject(unconfirmed);
 		});
 	});
 
--- a/src/services/request-admission.ts
+++ b/src/services/request-admission.ts
@@ -19,7 +19,7 @@
 
 const notReadyRetryAfterMs = 500;
 /** Interval at which the watchers of the store report contact: the next report may confirm the configuration. */
-const homesUnknownRetryAfterMs = 500;
+const unconfirmedRetryAfterMs = 500;
 
 /** Decides by the configuration in force whether a request may run, and at which service. */
 export class RequestAdmission {
@@ -67,29 +67,35 @@
 	#admitBy(table: RouteTable, req: ProxyRequest): Admission {
 		const [path] = req.target.split('?', 1);
 		const route = this.#steering.match(req.host, path!);
-		return route === undefined ? refused({kind: 'invalid', reason: 'no_route'}) : this.#confirm(this.#accounts.admit(req, route, table));
+		return this.#confirm(route === undefined ? refused({kind: 'invalid', reason: 'no_route'}) : this.#accounts.admit(req, route, table));
 	}
 
-	/** Refuses a request with homes, or with a key whose account may have some, while a later configuration may be in force that this host does not have. */
+	/** Refuses a request as not run if a later configuration, which this host may not have, might move its homes or allow what this one does not. */
 	#confirm(admission: Admission): Admission {
-		const hasHomes = admission.kind === 'admitted' && (admission.isKeyUnknown || admission.allowedRegions.length > 0);
 		const {unconfirmedMs} = this.#steering;
-		if (!hasHomes || unconfirmedMs <= this.#maxUnconfirmedMs) {
+		if (unconfirmedMs <= this.#maxUnconfirmedMs || !mayBeOutdated(admission)) {
 			return admission;
 		}
 
-		const {route, account, table} = admission;
+		const {route, account} = admission;
 		return {
 			kind: 'refused', route, account, outcome: {
 				kind: 'not_run',
-				reason: 'homes_unknown',
-				retryAfterMs: homesUnknownRetryAfterMs,
-				figures: {configuration: table.version, unconfirmedMs: Number.isFinite(unconfirmedMs) ? Math.round(unconfirmedMs) : 'never confirmed'},
+				reason: 'unconfirmed',
+				retryAfterMs: unconfirmedRetryAfterMs,
+				figures: {configuration: this.#steering.routes?.version ?? 0, unconfirmedMs: Number.isFinite(unconfirmedMs) ? Math.round(unconfirmedMs) : 'never confirmed'},
 			},
 		};
 	}
 }
 
+/** Whether a later configuration might be violated by what was decided: requests with homes, and those that are refused for good. */
+function mayBeOutdated(admission: Admission): boolean {
+	return admission.kind === 'admitted'
+		? admission.isKeyUnknown || admission.allowedRegions.length > 0
+		: admission.outcome.kind === 'invalid';
+}
+
 function refused(outcome: Refused['outcome']): Refused {
 	return {
 		kind: 'refused', route: undefined, account: undefined, outcome,
