What arrives late confirms nothing

Responses count as complete only in the era of the replica's items, spread changes tell only that the store answers, probes count by their own time for 1 s, and a host that was paused counts as unconfirmed until a peer has acknowledged it, and takes no contact until then.

Tests of the reader, the tracker and the membership failed before (the era's and the probes' also in the review).

--- a/src/decisions/membership.test.ts
+++ b/src/decisions/membership.test.ts
@@ -165,6 +165,15 @@
 			expect(informed).toHaveLength(29);
 		});
 
+		// Guards against hosts that take old changes, which were long on their way to the watcher, for the latest.
+		it('that a watcher spreads confirm nothing', () => {
+			const {network, reports} = regionWithReports(4);
+			network.act(0, membership => membership.spreadChanges(version, [new Uint8Array(10)]));
+			network.run(100);
+			const contacts = [...reports.values()].flat().filter(effect => effect.kind === 'store_contact');
+			expect(contacts.map(contact => contact.version)).toEqual(Array.from({length: 3}, () => ({...version, revision: 0})));
+		});
+
 		it.each([
 			{hosts: 5, bytes: 1000}, {hosts: 30, bytes: 1000}, {hosts: 100, bytes: 500}, {hosts: 100, bytes: 1000},
 		])('that a watcher spreads with $bytes bytes of changes reach all other members of a region of $hosts, and hold up its link for a tenth of a second at most', ({hosts, bytes}) => {
--- a/src/decisions/membership.ts
+++ b/src/decisions/membership.ts
@@ -390,7 +390,9 @@
 		const part = toPart({
 			isRelayed, partIndex, partCount, partData,
 		});
-		const effects: MembershipEffect[] = [...this.#sendContact(relayed, contactOf, version, part), {kind: 'store_contact', version, rank: this.#delegateRankOf(contactOf)}];
+		// With changes, which may have been on their way to the watcher for long, the contact only tells that the store answers it.
+		const contact = part === undefined ? version : {...version, revision: 0};
+		const effects: MembershipEffect[] = [...this.#sendContact(relayed, contactOf, version, part), {kind: 'store_contact', version: contact, rank: this.#delegateRankOf(contactOf)}];
 		if (part !== undefined) {
 			effects.push({
 				kind: 'changes_part', origin: contactOf, address: this.#table.get(contactOf)?.member.peers ?? address, version, index: part.partIndex, count: part.partCount, data: part.partData,
--- a/src/decisions/revision-tracker.test.ts
+++ b/src/decisions/revision-tracker.test.ts
@@ -222,6 +222,19 @@
 			expect(tracker.unconfirmedMs(2010)).toBe(0);
 		});
 
+		it.each([
+			{name: 'sent before the call that waits', sentMs: 1000, answeredMs: 1600},
+			{name: 'read long after it was sent', sentMs: 1500, answeredMs: 6500},
+		])('takes no probe for a confirmation that was $name', ({sentMs, answeredMs}) => {
+			const tracker = new RevisionTracker(new SeededRandom(1), 0);
+			tracker.adopt({era: 0, revision: 1});
+			tracker.tick(0, 0);
+			tracker.recordWatchStart(1100);
+			tracker.tick(1500, 0);
+			expect(tracker.recordProbeAnswer(0, answeredMs, sentMs)).toEqual([{kind: 'report_answer'}]);
+			expect(tracker.unconfirmedMs(answeredMs)).toBe(Number.POSITIVE_INFINITY);
+		});
+
 		it('keeps a watch that was answered after the failure', () => {
 			const tracker = watcher();
 			tracker.recordRead(true);
--- a/src/decisions/revision-tracker.ts
+++ b/src/decisions/revision-tracker.ts
@@ -196,8 +196,8 @@
 		this.#eras.confirm(era);
 	}
 
-	/** Records that the store answered a probe of this host, and the era that it stated. Of an older era, the answer is late and says nothing. */
-	recordProbeAnswer(era: number, nowMs: number): Effect[] {
+	/** Records that the store answered a probe of this host, sent at `sentMs` (by default, the latest one), and the era that it stated. Of an older era, the answer is late and says nothing. */
+	recordProbeAnswer(era: number, nowMs: number, sentMs = this.#lastProbeMs): Effect[] {
 		if (era < this.#version.era) {
 			return [];
 		}
@@ -223,7 +223,7 @@
 			return effects;
 		}
 
-		this.#evidence.recordProbeAnswer(this.#lastProbeMs, nowMs);
+		this.#evidence.recordProbeAnswer(sentMs, nowMs);
 		this.#confirmed.confirm(this.#evidence.confirmedMs);
 		return [...effects, {kind: nowMs - this.#evidence.confirmedMs <= maxReportedAgeMs ? 'report_contact' : 'report_answer'}];
 	}
--- a/src/decisions/watch-evidence.ts
+++ b/src/decisions/watch-evidence.ts
@@ -3,6 +3,8 @@
  * regions, in milliseconds.
  */
 const minCallAgeMs = 250;
+/** Age of an answered probe from which it tells nothing about the present: longer than a call to the store may take, in milliseconds. */
+const maxProbeAgeMs = 1000;
 
 /** Determines up to which time a host that watches the store has had all changes, by what the store told it. */
 export class WatchEvidence {
@@ -58,7 +60,7 @@
 
 	/** Records that the store answered a probe: no changes are on their way if the call waits for long enough. */
 	recordProbeAnswer(sentMs: number, nowMs: number): void {
-		if (this.#receivingSinceMs === undefined && sentMs >= this.#callSinceMs + minCallAgeMs) {
+		if (this.#receivingSinceMs === undefined && sentMs >= this.#callSinceMs + minCallAgeMs && nowMs - sentMs <= maxProbeAgeMs) {
 			this.#confirmedMs = nowMs;
 		}
 	}
--- a/src/services/replica-service.test.ts
+++ b/src/services/replica-service.test.ts
@@ -62,6 +62,7 @@
 		replica.follow({
 			membership: {setVersion: () => [], setSpreadVersion: () => [], delegateRank: () => 5},
 			run: () => undefined,
+			isConfident: () => true,
 			onStoreContact: () => undefined,
 			onChangesPart(listener: typeof receivePart) {
 				receivePart = listener;
--- a/src/services/replica-service.ts
+++ b/src/services/replica-service.ts
@@ -98,8 +98,12 @@
 		return this.#options.outage.isUnavailable;
 	}
 
-	/** Time since which nothing has confirmed that this host has the store's latest changes, in milliseconds. */
+	/** Time since which nothing has confirmed that this host has the store's latest changes, in milliseconds; infinite after a pause of this process. */
 	get unconfirmedMs(): number {
+		if (this.#members?.isConfident() === false) {
+			return Number.POSITIVE_INFINITY;
+		}
+
 		return this.#options.revisionTracker.unconfirmedMs(this.#options.clock.nowMs());
 	}
 
@@ -142,7 +146,9 @@
 			this.#runEffects(revisionTracker.recordVersion(version, address, clock.nowMs()));
 		});
 		members.onStoreContact((version, rank) => {
-			this.#runEffects(revisionTracker.recordReportedContact(version, rank, clock.nowMs()));
+			// After a pause, the contact may be as old as the pause.
+			const contact = members.isConfident() ? version : {...version, revision: 0};
+			this.#runEffects(revisionTracker.recordReportedContact(contact, rank, clock.nowMs()));
 		});
 		members.onChangesPart(part => {
 			this.#receivePart(part);
@@ -427,6 +433,7 @@
 
 	async #probeStore(): Promise<void> {
 		const {revisionTracker, clock} = this.#options;
+		const sentMs = clock.nowMs();
 		const era = await this.#reader.ping();
 		if (this.#isClosed) {
 			return;
@@ -435,7 +442,7 @@
 		if (era === undefined) {
 			revisionTracker.recordProbeFailure();
 		} else {
-			this.#runEffects(revisionTracker.recordProbeAnswer(era, clock.nowMs()));
+			this.#runEffects(revisionTracker.recordProbeAnswer(era, clock.nowMs(), sentMs));
 		}
 	}
 }
--- a/src/services/replica-spread.test.ts
+++ b/src/services/replica-spread.test.ts
@@ -71,6 +71,7 @@
 				reportStoreContact: () => [],
 			},
 			run: () => undefined,
+			isConfident: () => true,
 			onStoreContact: () => undefined,
 			onChangesPart: () => undefined,
 			onRevision: () => undefined,
--- a/src/services/store-reader.test.ts
+++ b/src/services/store-reader.test.ts
@@ -26,12 +26,13 @@
 	let abort: AbortController;
 	let lists: number;
 	let reads: boolean[];
+	let completions: boolean[];
 	const changes = (era: number, revision: number, ...written: StoreItem[]): WatchResult => ({success: true, data: {era, revision, changes: written.map(item => ({kind: 'written', item}))}});
 
 	beforeEach(() => {
 		items = new ItemReplica();
 		items.applyFullRead([itemAt('a', 80)], at(100, 1), 0);
-		[watchedFrom, eras, abort, lists, reads] = [[], [], new AbortController(), 0, []];
+		[watchedFrom, eras, abort, lists, reads, completions] = [[], [], new AbortController(), 0, [], []];
 		const ignore = () => undefined;
 		reader = new StoreReader({
 			store: {
@@ -58,8 +59,9 @@
 			onEra(era) {
 				eras.push(era);
 			},
-			onRead(isAnswered) {
+			onRead(isAnswered, isComplete) {
 				reads.push(isAnswered);
+				completions.push(isComplete);
 			},
 			onChanges: ignore,
 			onFullRead: ignore,
@@ -68,6 +70,14 @@
 		});
 	});
 
+	// Guards against a host that takes what it knows for the latest because of a response of another era, which it does not apply.
+	it('does not count a response of another era as complete', async () => {
+		listed = {...at(130, 2), items: []};
+		responses = [() => changes(2, 130), () => changes(2, 130), () => changes(1, 140)];
+		await reader.watch(false, abort.signal);
+		expect(completions.slice(0, 4)).toEqual([false, true, true, false]);
+	});
+
 	it('applies no changes that follow its revision in another era, and reads all items', async () => {
 		listed = {...at(130, 2), items: [itemAt('b', 40), itemAt('c', 120)]};
 		responses = [() => changes(2, 130, itemAt('c', 120))];
--- a/src/services/store-reader.ts
+++ b/src/services/store-reader.ts
@@ -24,7 +24,7 @@
 	readonly onWatch: () => void;
 	/** Called when a response to a watch begins to arrive, and at the start of each full read. */
 	readonly onProgress: () => void;
-	/** Called after each full read and each watch: whether the store answered it, and whether with all items or changes. */
+	/** Called after each full read and each watch: whether the store answered it, and whether with all items or changes of the present era. */
 	readonly onRead: (isAnswered: boolean, isComplete: boolean) => void;
 	/** Called after a full read of all items, with their era. */
 	readonly onFullRead: (era: number) => void;
@@ -103,7 +103,7 @@
 		const startMs = clock.nowMs();
 		this.#options.onProgress();
 		const read = await store.list('');
-		onRead(read.success, read.success);
+		onRead(read.success, read.success && read.data.era >= items.version.era);
 		if (!read.success) {
 			this.#recordFailure(read.error);
 			return undefined;
@@ -135,7 +135,7 @@
 			return undefined;
 		}
 
-		onRead(read.success || read.error.code === 'compacted', read.success);
+		onRead(read.success || read.error.code === 'compacted', read.success && read.data.era === after.era);
 		if (!read.success) {
 			if (read.error.code === 'compacted') {
 				this.#recordResponse(read.error.era);
--- a/test/replica-pair.ts
+++ b/test/replica-pair.ts
@@ -44,6 +44,7 @@
 		this.receiver.follow({
 			membership: {setVersion: () => [], setSpreadVersion: () => [], delegateRank: () => 5},
 			run: () => undefined,
+			isConfident: () => true,
 			onStoreContact: () => undefined,
 			onChangesPart: () => undefined,
 			onRevision: (listener: RevisionListener) => {
