--- a/src/decisions/revision-tracker.ts
+++ b/src/decisions/revision-tracker.ts
@@ -2,40 +2,14 @@
 import {compareVersions} from './compare-versions.js';
 import {ConfirmedContacts} from './confirmed-contacts.js';
 import {EraTracker} from './era-tracker.js';
+import {type RevisionEffect} from './revision-effect.js';
+import {type RevisionTiming} from './revision-timing.js';
 import {type SeededRandom} from './seeded-random.js';
 import {WatchEvidence} from './watch-evidence.js';
 
-type Effect =
-	/** Pulls the changes since the local revision from the daemon at this address. */
-	| {readonly kind: 'pull'; readonly address: string}
-	/** Pulls from a daemon that states no era; only what can be ordered without one may be taken from its response. */
-	| {readonly kind: 'pull_unordered'; readonly address: string}
-	/** Reads the current state from the store; a host that watches it then watches from what it read. */
-	| {readonly kind: 'read_store'}
-	/** Starts or stops the watch on the store. */
-	| {readonly kind: 'watch'; readonly isWatching: boolean}
-	/** Makes a cheap call to the store, to find out whether it answers this host. */
-	| {readonly kind: 'probe_store'}
-	/** Tells the region that the store has just answered this host, which watches it and has all changes. */
-	| {readonly kind: 'report_contact'}
-	/** Tells the region that the store has just answered this host, which watches it, but that changes may still be on their way to it. */
-	| {readonly kind: 'report_answer'};
-
-type Timing = {
-	/** Interval at which a watcher probes the store. */
-	readonly probeIntervalMs: number;
-	/** Time without contact to the store, own or reported, after which a host that is not designated probes the store itself. */
-	readonly staleAfterMs: number;
-	/**
-	 * Time without progress for which a host that knows of a newer version waits for the changes that watchers spread, before it pulls them. Pulls
-	 * cost their source and the caller far more processor time.
-	 */
-	readonly pullDelayMs: number;
-};
-
 /** Number of members of a region that are designated to watch the store. */
 const watchersPerRegion = 2;
-const defaultTiming: Timing = {probeIntervalMs: 500, staleAfterMs: 1000, pullDelayMs: 0};
+const defaultTiming: RevisionTiming = {probeIntervalMs: 500, staleAfterMs: 1000, pullDelayMs: 0};
 /** Additional time per rank, so that one substitute usually reports before the others start. */
 const substituteStaggerMs = 150;
 /** Largest number of ranks that are staggered; it bounds the time until the last host acts for itself. */
@@ -73,7 +47,7 @@
 export class RevisionTracker {
 	readonly #random: SeededRandom;
 	readonly #startMs: number;
-	readonly #timing: Timing;
+	readonly #timing: RevisionTiming;
 	readonly #eras = new EraTracker();
 	readonly #confirmed = new ConfirmedContacts();
 	readonly #evidence = new WatchEvidence();
@@ -96,7 +70,7 @@
 	#lastStoreReadMs = Number.NEGATIVE_INFINITY;
 	#lastUnorderedPullMs = Number.NEGATIVE_INFINITY;
 
-	constructor(random: SeededRandom, startMs: number, timing: Partial<Timing> = {}) {
+	constructor(random: SeededRandom, startMs: number, timing: Partial<RevisionTiming> = {}) {
 		this.#random = random;
 		this.#startMs = startMs;
 		this.#timing = {...defaultTiming, ...timing};
@@ -142,7 +116,7 @@
 	}
 
 	/** Records that a peer reported a version; starts a pull if it is newer and none is in progress. */
-	recordVersion(version: StoreVersion, address: string, nowMs: number): Effect[] {
+	recordVersion(version: StoreVersion, address: string, nowMs: number): RevisionEffect[] {
 		if (version.era === 0 && this.#version.era > 0) {
 			return this.#pullUnordered(address, nowMs);
 		}
@@ -186,7 +160,7 @@
 	}
 
 	/** Records the era that the store stated to this host in any response, and reads the store if it is newer and nobody else is likely to. */
-	recordStoreEra(era: number, nowMs: number): Effect[] {
+	recordStoreEra(era: number, nowMs: number): RevisionEffect[] {
 		this.#eras.hear(era, nowMs);
 		return this.#readIfBehind(nowMs);
 	}
@@ -197,7 +171,7 @@
 	}
 
 	/** Records that the store answered a probe of this host, sent at `sentMs` (by default, the latest one), and the era that it stated. Of an older era, the answer is late and says nothing. */
-	recordProbeAnswer(era: number, nowMs: number, sentMs = this.#lastProbeMs): Effect[] {
+	recordProbeAnswer(era: number, nowMs: number, sentMs = this.#lastProbeMs): RevisionEffect[] {
 		if (era < this.#version.era) {
 			return [];
 		}
@@ -257,7 +231,7 @@
 	 * Records that the store has just answered a watcher of this region, which has this version and this rank; revision 0 says that it may lack changes. A watcher of an older era
 	 * delivers no changes of this one, so that its contact does not count.
 	 */
-	recordReportedContact(version: StoreVersion, rank: number, nowMs: number): Effect[] {
+	recordReportedContact(version: StoreVersion, rank: number, nowMs: number): RevisionEffect[] {
 		if (version.era < this.#version.era) {
 			return [];
 		}
@@ -280,7 +254,7 @@
 	}
 
 	/** Records that a pull failed or returned nothing usable, and tries the next source unless another pull has begun. */
-	recordPullFailure(address: string, nowMs: number): Effect[] {
+	recordPullFailure(address: string, nowMs: number): RevisionEffect[] {
 		this.#newestReported.sources = this.#newestReported.sources.filter(source => source !== address);
 		if (this.#pull?.address === address) {
 			this.#pull = undefined;
@@ -290,9 +264,9 @@
 	}
 
 	/** Advances time. `rank` is the host's position in its region's order of delegates, starting at 0. */
-	tick(nowMs: number, rank: number): Effect[] {
+	tick(nowMs: number, rank: number): RevisionEffect[] {
 		this.#rank = rank;
-		const effects: Effect[] = this.#setSubstitute(this.#isSubstitute && !this.#isDesignated());
+		const effects: RevisionEffect[] = this.#setSubstitute(this.#isSubstitute && !this.#isDesignated());
 		const isProbing = this.#isWatching || this.#isStale(nowMs);
 		const probeIntervalMs = this.#timing.probeIntervalMs * (this.#isWatching ? 1 : staleProbeFactor);
 		if (isProbing && nowMs - this.#lastProbeMs >= probeIntervalMs) {
@@ -313,12 +287,12 @@
 		return [...effects, ...this.#startPull(nowMs), ...this.#readIfBehind(nowMs)];
 	}
 
-	#readIfBehind(nowMs: number): Effect[] {
+	#readIfBehind(nowMs: number): RevisionEffect[] {
 		return this.#eras.isReadDue(nowMs, this.#isWatching) ? [{kind: 'read_store'}] : [];
 	}
 
 	/** A host without contact to the store and to daemons that know the era asks those that do not: they may have a newer configuration. */
-	#pullUnordered(address: string, nowMs: number): Effect[] {
+	#pullUnordered(address: string, nowMs: number): RevisionEffect[] {
 		if (!this.#isStale(nowMs) || nowMs - this.#lastUnorderedPullMs < unorderedPullIntervalMs) {
 			return [];
 		}
@@ -343,7 +317,7 @@
 		}
 	}
 
-	#setSubstitute(isSubstitute: boolean): Effect[] {
+	#setSubstitute(isSubstitute: boolean): RevisionEffect[] {
 		this.#isSubstitute = isSubstitute;
 		const isWatching = isSubstitute || this.#isDesignated();
 		if (isWatching === this.#isWatching) {
@@ -362,7 +336,7 @@
 		return isSameEra && nowMs - Math.max(this.#behindSinceMs ?? nowMs, this.#progressMs) < this.#timing.pullDelayMs;
 	}
 
-	#startPull(nowMs: number): Effect[] {
+	#startPull(nowMs: number): RevisionEffect[] {
 		if (this.#isPullDelayed(nowMs) || this.#pull !== undefined || compareVersions(this.#newestReported.version, this.#version) <= 0 || this.#newestReported.sources.length === 0) {
 			return [];
 		}
