--- a/src/services/accounts/account-check.ts
+++ b/src/services/accounts/account-check.ts
@@ -48,7 +48,14 @@
 		switch (identity.kind) {
 			case 'anonymous': {
 				return {
-					kind: 'admitted', route, table, account: undefined, hidesIdentity, priority: route.priority, isKeyUnknown: hidesIdentity && accountKey !== undefined, allowedRegions: route.allowedRegions,
+					kind: 'admitted',
+					route,
+					table,
+					account: undefined,
+					hidesIdentity,
+					priority: route.priority,
+					isKeyUnknown: hidesIdentity && accountKey !== undefined,
+					allowedRegions: route.allowedRegions,
 				};
 			}
 
